--- /dev/null
+++ b/src/main/java/org/ploverspindle/cloud/HttpCloud.java
@@ -0,0 +1,155 @@
+package org.ploverspindle.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.net.Caller;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.net.Reply;
+
+/** The cloud's own protocol. Broken or unexpected answers count as none. */
+public final class HttpCloud implements CloudApi {
+  private static final byte[] EMPTY = {};
+  private static final long TIMEOUT_MS = 5_000;
+  private static final int PAGE = 500;
+
+  private final Caller caller;
+
+  public HttpCloud(Caller caller) {
+    this.caller = caller;
+  }
+
+  private static Optional<ObjectNode> ok(Reply reply) {
+    return reply instanceof Reply.Answer a && a.status() == 200
+        ? Cbor.readMap(a.body())
+        : Optional.empty();
+  }
+
+  @Override
+  public void types(Consumer<Optional<List<MachineType>>> then) {
+    caller.call(
+        "GET",
+        "/flavors",
+        EMPTY,
+        TIMEOUT_MS,
+        r -> then.accept(ok(r).flatMap(HttpCloud::readTypes)));
+  }
+
+  /** Empty when any type lacks what placing needs: half a catalogue would refuse good jobs. */
+  static Optional<List<MachineType>> readTypes(ObjectNode body) {
+    if (!body.path("flavours").isArray() || body.path("flavours").isEmpty()) {
+      return Optional.empty();
+    }
+    List<MachineType> types = new ArrayList<>();
+    for (JsonNode f : body.path("flavours")) {
+      List<String> zones = new ArrayList<>();
+      f.path("sites").forEach(z -> zones.add(z.asText()));
+      if (!f.path("label").isTextual() || !f.path("cores").isNumber() || zones.isEmpty()) {
+        return Optional.empty();
+      }
+      types.add(
+          new MachineType(
+              f.path("label").asText(),
+              Resources.offered(
+                  f.path("cores").asDouble(),
+                  f.path("accelerators").asDouble(),
+                  f.path("mem_gb").asDouble()),
+              f.path("cache_gb").asDouble(),
+              f.path("pull_gb_per_s").asDouble(1),
+              f.path("price").asDouble(),
+              f.path("market_price").asDouble(f.path("price").asDouble()),
+              f.path("ready_s").asDouble(),
+              List.copyOf(zones)));
+    }
+    return Optional.of(types);
+  }
+
+  @Override
+  public void rent(
+      String claim, String type, String zone, boolean spot, int count, Consumer<RentResult> then) {
+    ObjectNode body =
+        Cbor.map()
+            .put("claim", claim)
+            .put("flavour", type)
+            .put("site", zone)
+            .put("loaners", spot)
+            .put("how_many", count);
+    caller.call("POST", "/rentals", Cbor.write(body), TIMEOUT_MS, r -> then.accept(rented(r)));
+  }
+
+  private static RentResult rented(Reply reply) {
+    if (reply instanceof Reply.NotSent) {
+      return new RentResult.Refused();
+    }
+    if (!(reply instanceof Reply.Answer answer)) {
+      return new RentResult.Unknown();
+    }
+    Optional<ObjectNode> body = Cbor.readMap(answer.body());
+    if (answer.status() == 200 && body.isPresent() && body.get().path("hosts").isArray()) {
+      List<String> hosts = new ArrayList<>();
+      body.get().path("hosts").forEach(h -> hosts.add(h.asText()));
+      return new RentResult.Rented(hosts);
+    }
+    if (answer.status() == 503
+        && body.map(b -> b.path("error").asText("")).orElse("").contains("capacity")) {
+      return new RentResult.NoCapacity();
+    }
+    return switch (answer.status()) {
+      case 400, 429, 503 -> new RentResult.Refused();
+      default -> new RentResult.Unknown();
+    };
+  }
+
+  @Override
+  public void release(List<String> hosts, Consumer<Boolean> then) {
+    ObjectNode body = Cbor.map();
+    hosts.forEach(body.putArray("hosts")::add);
+    caller.call(
+        "POST",
+        "/rentals/release",
+        Cbor.write(body),
+        TIMEOUT_MS,
+        r -> then.accept(r instanceof Reply.Answer a && a.status() == 200));
+  }
+
+  @Override
+  public void hosts(String after, Consumer<Optional<HostPage>> then) {
+    String path =
+        "/rentals?page="
+            + PAGE
+            + (after.isEmpty() ? "" : "&after=" + URLEncoder.encode(after, StandardCharsets.UTF_8));
+    caller.call(
+        "GET", path, EMPTY, TIMEOUT_MS, r -> then.accept(ok(r).flatMap(HttpCloud::readPage)));
+  }
+
+  private static Optional<HostPage> readPage(ObjectNode body) {
+    if (!body.path("hosts").isArray()) {
+      return Optional.empty();
+    }
+    List<Host> hosts = new ArrayList<>();
+    for (JsonNode h : body.path("hosts")) {
+      HostStatus status =
+          switch (h.path("status").asText()) {
+            case "booting" -> HostStatus.BOOTING;
+            case "failed" -> HostStatus.FAILED;
+            default -> HostStatus.RUNNING;
+          };
+      hosts.add(
+          new Host(
+              h.path("uid").asText(),
+              h.path("addr").asText(""),
+              h.path("flavour").asText(),
+              h.path("site").asText(),
+              h.path("loaners").asBoolean(),
+              status,
+              h.path("age_s").asDouble()));
+    }
+    return Optional.of(new HostPage(hosts, body.path("has_next").asBoolean()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -0,0 +1,613 @@
+package org.ploverspindle.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.loop.Scope;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.placement.Demand;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.sizing.AdaptiveSizing;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.LeaderWrites;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.TokenBucket;
+import org.ploverspindle.state.TypesRecord;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A leader's dealings with the cloud: scans, rentals by durable claims, returns, and the list. */
+public final class Rentals {
+  private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+  private static final int MAX_PER_RENTAL = 50;
+  private static final int MAX_PER_RELEASE = 100;
+
+  /** A type's machines of one kind in one zone. */
+  record Group(int type, int zone, boolean spot) {}
+
+  /** What the rest of the leader has to do with rentals. */
+  public interface Host {
+    /** What to rent, given what may be rented and what is on its way. */
+    List<Demand.Wanted> wanted(List<Demand.Offer> offers, List<Demand.Coming> coming);
+
+    /** Tasks that went with a machine. */
+    void lost(List<Placement> placements);
+
+    boolean mayDecide();
+  }
+
+  private static final class Claim {
+    private final String name;
+    private final Group group;
+    private final int count;
+    private boolean recorded;
+    private boolean asked;
+    private Optional<List<String>> hosts = Optional.empty();
+    private boolean removing;
+
+    Claim(String name, Group group, int count, boolean recorded) {
+      this.name = name;
+      this.group = group;
+      this.count = count;
+      this.recorded = recorded;
+    }
+  }
+
+  private final Scheduler scheduler;
+  private final CloudApi cloud;
+  private final Catalogue catalogue;
+  private final Fleet fleet;
+  private final Replica replica;
+  private final LeaderWrites writes;
+  private final Policy policy;
+  private final Settings settings;
+  private final RandomGenerator random;
+  private final Term term;
+  private final Host host;
+  private final TokenBucket budget;
+  private final Map<String, Claim> claims = new LinkedHashMap<>();
+  private final Map<Group, Long> backoffUntilMs = new HashMap<>();
+  private final Map<String, JsonNode> writtenBounds = new HashMap<>();
+  private final Map<String, Integer> missedLists = new HashMap<>();
+  private final Scope duties = new Scope();
+  private long claimCounter;
+  private boolean listedOnce;
+  private boolean listing;
+  private boolean releaseBusy;
+  private boolean typesBusy;
+  private boolean typesRecorded;
+
+  public Rentals(
+      Scheduler scheduler,
+      CloudApi cloud,
+      Catalogue catalogue,
+      Fleet fleet,
+      Replica replica,
+      LeaderWrites writes,
+      Policy policy,
+      Settings settings,
+      RandomGenerator random,
+      Term term,
+      Host host) {
+    this.scheduler = scheduler;
+    this.cloud = cloud;
+    this.catalogue = catalogue;
+    this.fleet = fleet;
+    this.replica = replica;
+    this.writes = writes;
+    this.policy = policy;
+    this.settings = settings;
+    this.random = random;
+    this.term = term;
+    this.host = host;
+    double rps = settings.cloudLimits().rps();
+    this.budget = new TokenBucket(scheduler, rps * 0.75, Math.max(1, rps));
+  }
+
+  public Cancellable start() {
+    for (Entry e : replica.under(Keys.CLAIMS).values()) {
+      inherit(e);
+    }
+    readMarks();
+    long listMs = Math.max(2_500, Math.round(settings.cloudLimits().listLagS() * 500));
+    duties.add(scheduler.every(listMs, this::list));
+    duties.add(scheduler.every(Math.round(policy.scanS() * 1000), this::scan));
+    duties.add(scheduler.every(1_000, this::returns));
+    duties.add(scheduler.every(60_000, this::refreshTypes));
+    duties.add(scheduler.every(500, this::pursueClaims));
+    list();
+    refreshTypes();
+    return duties;
+  }
+
+  /** The next scan need not be waited for: nothing is up and work waits. */
+  public void scanSoon() {
+    if (listedOnce && claims.isEmpty() && fleet.all().isEmpty()) {
+      scan();
+    }
+  }
+
+  // ---- claims
+
+  private void inherit(Entry e) {
+    String name = e.key().substring(Keys.CLAIMS.length());
+    JsonNode v = e.value();
+    Optional<Integer> type = catalogue.typeIndex(v.path("type").asText());
+    Optional<Integer> zone = catalogue.zoneIndex(v.path("zone").asText());
+    if (type.isEmpty() || zone.isEmpty() || v.path("count").asInt() < 1) {
+      LOG.error("the record {} can't be read and is left as it is", e.key());
+      return;
+    }
+    Group group = new Group(type.get(), zone.get(), v.path("spot").asBoolean());
+    claims.put(name, new Claim(name, group, v.path("count").asInt(), true));
+  }
+
+  /** Named from token and counter: no other leader, and no later rental of ours, has this name. */
+  private void rent(Group group, int count, String cause) {
+    String name = "r-" + term.token() + "-" + ++claimCounter;
+    Claim claim = new Claim(name, group, count, false);
+    claims.put(name, claim);
+    LOG.info(
+        "renting {} {} {} in {} as {}: {}",
+        count,
+        group.spot() ? "spot" : "ordinary",
+        catalogue.type(group.type()).name(),
+        catalogue.zoneName(group.zone()),
+        name,
+        cause);
+    ObjectNode v = Cbor.map();
+    v.put("type", catalogue.type(group.type()).name());
+    v.put("zone", catalogue.zoneName(group.zone()));
+    v.put("spot", group.spot());
+    v.put("count", count);
+    // Durable first: a leader that takes over in between learns from it what may have been rented.
+    writes.create(
+        new Change.Put(Keys.claim(name), v),
+        stands -> {
+          if (stands) {
+            claim.recorded = true;
+            ask(claim);
+          } else {
+            claims.remove(name);
+          }
+        });
+  }
+
+  private void ask(Claim claim) {
+    if (claim.asked || !host.mayDecide() || !budget.tryTake(1)) {
+      return;
+    }
+    claim.asked = true;
+    Group g = claim.group;
+    cloud.rent(
+        claim.name,
+        catalogue.type(g.type()).name(),
+        catalogue.zoneName(g.zone()),
+        g.spot(),
+        claim.count,
+        result -> {
+          if (result instanceof CloudApi.RentResult.Rented rented) {
+            rented(claim, rented.hosts());
+          } else if (result instanceof CloudApi.RentResult.NoCapacity) {
+            LOG.info("no capacity for {}", claim.name);
+            backOff(g);
+            removeClaim(claim);
+          } else {
+            // No answer, or a refusal: the same claim is asked for again, which rents once at most.
+            scheduler.schedule(700 + random.nextInt(600), () -> claim.asked = false);
+          }
+        });
+  }
+
+  private void rented(Claim claim, List<String> hosts) {
+    claim.hosts = Optional.of(hosts);
+    Group g = claim.group;
+    if (hosts.size() < claim.count) {
+      backOff(g);
+    }
+    for (String id : hosts) {
+      if (!fleet.wasReleased(id)) {
+        fleet.adopt(
+            id,
+            catalogue.type(g.type()).name(),
+            catalogue.zoneName(g.zone()),
+            g.spot(),
+            scheduler.nowMs());
+      }
+    }
+  }
+
+  private void pursueClaims() {
+    for (Claim c : List.copyOf(claims.values())) {
+      if (c.recorded && c.hosts.isEmpty()) {
+        ask(c);
+      } else if (c.hosts.isPresent() && c.hosts.get().stream().allMatch(this::seen)) {
+        removeClaim(c);
+      }
+    }
+  }
+
+  private boolean seen(String id) {
+    return fleet.get(id).map(m -> m.up() || m.listed()).orElse(true);
+  }
+
+  private void removeClaim(Claim claim) {
+    if (claim.removing || !host.mayDecide()) {
+      return;
+    }
+    claim.removing = true;
+    writes.tell(
+        new Change.Remove(Keys.claim(claim.name)),
+        gone -> {
+          if (gone) {
+            claims.remove(claim.name);
+          } else {
+            scheduler.schedule(2_000, () -> claim.removing = false);
+            if (claim.hosts.isEmpty()) {
+              claim.hosts = Optional.of(List.of());
+            }
+          }
+        });
+  }
+
+  private void backOff(Group g) {
+    // Spread out: marks that were set together would otherwise end together, and all be tried at
+    // once.
+    long ms = Math.round(policy.backoffS() * 1000 * (0.85 + 0.3 * random.nextDouble()));
+    backoffUntilMs.put(g, scheduler.nowMs() + ms);
+  }
+
+  private boolean backedOff(Group g) {
+    return backoffUntilMs.getOrDefault(g, Long.MIN_VALUE) > scheduler.nowMs();
+  }
+
+  // ---- the scan
+
+  private int inFlight(int type, int zone) {
+    int n = 0;
+    for (Claim c : claims.values()) {
+      if (c.hosts.isEmpty() && c.group.type() == type && c.group.zone() == zone) {
+        n += c.count;
+      }
+    }
+    return n;
+  }
+
+  private List<AdaptiveSizing.Bounds> bounds(int type, List<AdaptiveSizing.Group> groups) {
+    Policy.PoolBounds pool = policy.pool(catalogue.type(type).name());
+    return AdaptiveSizing.bounds(pool.min(), pool.max(), groups);
+  }
+
+  private List<AdaptiveSizing.Group> groups(int type) {
+    int[] held = new int[catalogue.zoneCount()];
+    for (Machine m : fleet.all()) {
+      if (m.type() == type && !m.releasing()) {
+        held[m.zone()]++;
+      }
+    }
+    List<AdaptiveSizing.Group> groups = new ArrayList<>();
+    for (int z = 0; z < held.length; z++) {
+      boolean bad = backedOff(new Group(type, z, true)) && backedOff(new Group(type, z, false));
+      groups.add(new AdaptiveSizing.Group(held[z] + inFlight(type, z), bad));
+    }
+    return groups;
+  }
+
+  private boolean rebuilt() {
+    if (!listedOnce || claims.values().stream().anyMatch(c -> c.recorded && c.hosts.isEmpty())) {
+      return false;
+    }
+    // Machines report in their own time: before most did, room that exists would be rented again.
+    long settledMs = term.startMs() + Math.round(settings.workers().reportS() * 1250) + 1_500;
+    return scheduler.nowMs() >= settledMs || fleet.all().isEmpty();
+  }
+
+  private void scan() {
+    if (!host.mayDecide() || !rebuilt()) {
+      return;
+    }
+    List<Demand.Offer> offers = new ArrayList<>();
+    Map<Group, Integer> forMinimum = new LinkedHashMap<>();
+    for (int t = 0; t < catalogue.types().size(); t++) {
+      List<AdaptiveSizing.Group> groups = groups(t);
+      List<AdaptiveSizing.Bounds> bounds = bounds(t, groups);
+      recordBounds(t, bounds);
+      for (int z = 0; z < groups.size(); z++) {
+        if (!catalogue.type(t).zones().contains(catalogue.zoneName(z))) {
+          continue;
+        }
+        int room = bounds.get(z).max() - groups.get(z).held();
+        offer(offers, new Group(t, z, true), room);
+        offer(offers, new Group(t, z, false), room);
+        int missing = Math.min(room, bounds.get(z).min() - groups.get(z).held());
+        if (missing > 0) {
+          // The minimum stands for what the pool must always have: ordinary machines where
+          // possible.
+          boolean spot = backedOff(new Group(t, z, false));
+          forMinimum.put(new Group(t, z, spot), missing);
+        }
+      }
+    }
+    Map<Group, Integer> toRent = new LinkedHashMap<>(forMinimum);
+    List<Demand.Coming> coming = coming();
+    forMinimum.forEach(
+        (g, n) -> {
+          for (int i = 0; i < n; i++) {
+            coming.add(new Demand.Coming(g.type(), g.zone(), g.spot()));
+          }
+        });
+    for (Demand.Wanted w : host.wanted(offers, coming)) {
+      toRent.merge(new Group(w.type(), w.zone(), w.spot()), w.count(), Integer::sum);
+    }
+    toRent.forEach(
+        (g, n) -> rent(g, Math.min(MAX_PER_RENTAL, n), "work waits or a minimum is open"));
+  }
+
+  private void offer(List<Demand.Offer> offers, Group g, int room) {
+    if (room > 0 && !backedOff(g)) {
+      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, MAX_PER_RENTAL)));
+    }
+  }
+
+  /** Machines that boot as expected, and rentals in flight. */
+  private List<Demand.Coming> coming() {
+    List<Demand.Coming> coming = new ArrayList<>();
+    for (Machine m : fleet.all()) {
+      double ageS = (scheduler.nowMs() - m.knownSinceMs()) / 1000.0;
+      if (!m.up() && !m.releasing() && ageS < catalogue.type(m.type()).bootS() * 1.7 + 5) {
+        coming.add(new Demand.Coming(m.type(), m.zone(), m.spot()));
+      }
+    }
+    for (Claim c : claims.values()) {
+      for (int i = 0; c.hosts.isEmpty() && i < c.count; i++) {
+        coming.add(new Demand.Coming(c.group.type(), c.group.zone(), c.group.spot()));
+      }
+    }
+    return coming;
+  }
+
+  private void recordBounds(int type, List<AdaptiveSizing.Bounds> bounds) {
+    ObjectNode v = Cbor.map();
+    ArrayNode list = v.putArray("bounds");
+    for (int z = 0; z < bounds.size(); z++) {
+      list.add(catalogue.zoneName(z) + "," + bounds.get(z).min() + "," + bounds.get(z).max());
+    }
+    ArrayNode marks = v.putArray("backoff");
+    backoffUntilMs.forEach(
+        (g, until) -> {
+          long leftMs = until - scheduler.nowMs();
+          if (g.type() == type && leftMs > 0) {
+            marks.add(catalogue.zoneName(g.zone()) + "," + g.spot() + "," + leftMs);
+          }
+        });
+    String key = Keys.bounds(catalogue.type(type).name());
+    if (!v.equals(writtenBounds.get(key)) && writes.spare()) {
+      writtenBounds.put(key, v);
+      writes.tell(
+          new Change.Put(key, v),
+          ok -> {
+            if (!ok) {
+              writtenBounds.remove(key);
+            }
+          });
+    }
+  }
+
+  /** Backoffs of an earlier leader go on for what was left when they were recorded. */
+  private void readMarks() {
+    for (Entry e : replica.under(Keys.BOUNDS).values()) {
+      Optional<Integer> type = catalogue.typeIndex(e.key().substring(Keys.BOUNDS.length()));
+      writtenBounds.put(e.key(), e.value());
+      for (JsonNode mark : e.value().path("backoff")) {
+        String[] f = mark.asText().split(",", -1);
+        Optional<Integer> zone = f.length == 3 ? catalogue.zoneIndex(f[0]) : Optional.empty();
+        if (type.isEmpty() || zone.isEmpty() || !f[2].matches("\\d{1,9}")) {
+          LOG.warn("a backoff mark in {} can't be read", e.key());
+          continue;
+        }
+        long leftMs = Math.min(Long.parseLong(f[2]), Math.round(policy.backoffS() * 1000));
+        backoffUntilMs.put(
+            new Group(type.get(), zone.get(), Boolean.parseBoolean(f[1])),
+            scheduler.nowMs() + leftMs);
+      }
+    }
+  }
+
+  // ---- returns
+
+  private void returns() {
+    if (!host.mayDecide() || releaseBusy) {
+      return;
+    }
+    long now = scheduler.nowMs();
+    List<Machine> back = new ArrayList<>();
+    Map<Integer, List<AdaptiveSizing.Group>> groups = new HashMap<>();
+    int[][] idleReturned = new int[catalogue.types().size()][catalogue.zoneCount()];
+    for (Machine m : fleet.all()) {
+      if (back.size() >= MAX_PER_RELEASE) {
+        break;
+      }
+      if (mustGo(m, now)) {
+        back.add(m);
+      } else if (idle(m, now)) {
+        List<AdaptiveSizing.Group> all = groups.computeIfAbsent(m.type(), this::groups);
+        int held = all.get(m.zone()).held() - idleReturned[m.type()][m.zone()];
+        if (held - 1 >= bounds(m.type(), all).get(m.zone()).min()) {
+          idleReturned[m.type()][m.zone()]++;
+          back.add(m);
+        }
+      }
+    }
+    if (!back.isEmpty() && budget.tryTake(1)) {
+      release(back);
+    }
+  }
+
+  private boolean idle(Machine m, long now) {
+    return m.up() && m.empty() && now - m.emptySinceMs() >= policy.idleS() * 1000 && !m.releasing();
+  }
+
+  /** Machines that are of no use any more, whatever the bounds say. */
+  private boolean mustGo(Machine m, long now) {
+    if (m.releasing()) {
+      return true;
+    }
+    if (m.empty() && (m.draining() || m.recalled())) {
+      return true;
+    }
+    double ageS = (now - m.knownSinceMs()) / 1000.0;
+    if (!m.up()) {
+      boolean stuck = ageS > catalogue.type(m.type()).bootS() * 3 + 15;
+      if (stuck && now - term.startMs() > fleet.leaseOverMs(m) - m.knownSinceMs()) {
+        backOff(new Group(m.type(), m.zone(), m.spot()));
+        return m.placements().isEmpty();
+      }
+      return false;
+    }
+    return now > fleet.leaseOverMs(m) + 15_000 && m.empty() && mostReport(now);
+  }
+
+  /** When most machines are silent, it is we who are cut off, not they who died. */
+  private boolean mostReport(long now) {
+    int up = 0;
+    int heard = 0;
+    for (Machine m : fleet.all()) {
+      if (m.up()) {
+        up++;
+        heard += now - m.lastReportMs() < settings.workers().leaseS() * 1000 ? 1 : 0;
+      }
+    }
+    return heard * 2 >= up;
+  }
+
+  private void release(List<Machine> back) {
+    releaseBusy = true;
+    List<String> ids = new ArrayList<>();
+    for (Machine m : back) {
+      m.releasing(true);
+      ids.add(m.host());
+    }
+    LOG.info("returning {}", ids);
+    cloud.release(
+        ids,
+        gone -> {
+          releaseBusy = false;
+          if (gone) {
+            for (Machine m : back) {
+              host.lost(fleet.released(m, scheduler.nowMs()));
+            }
+          }
+        });
+  }
+
+  // ---- the list
+
+  private void list() {
+    if (!listing && host.mayDecide() && budget.available() >= 2 && budget.tryTake(1)) {
+      listing = true;
+      page("", new HashSet<>());
+    }
+  }
+
+  private void page(String after, Set<String> seen) {
+    cloud.hosts(
+        after,
+        answer -> {
+          if (answer.isEmpty()) {
+            listing = false;
+            return;
+          }
+          String last = after;
+          for (CloudApi.Host h : answer.get().hosts()) {
+            seen.add(h.id());
+            last = h.id();
+            listed(h);
+          }
+          if (answer.get().hasNext() && !answer.get().hosts().isEmpty()) {
+            String next = last;
+            budget.take(1);
+            page(next, seen);
+          } else {
+            listing = false;
+            unlisted(seen);
+            boolean first = !listedOnce;
+            listedOnce = true;
+            if (first) {
+              scan();
+            }
+          }
+        });
+  }
+
+  private void listed(CloudApi.Host h) {
+    Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), scheduler.nowMs());
+    m.ifPresent(
+        machine -> {
+          machine.listed(true);
+          if (h.status() == CloudApi.HostStatus.FAILED && !machine.releasing()) {
+            // It has stopped by itself; the answer to its release proves that all on it is gone.
+            machine.releasing(true);
+          }
+        });
+  }
+
+  /**
+   * The list lags and can go back, so a machine that it no longer shows is dropped only when its
+   * lease is over as well, and only after several lists in a row.
+   */
+  private void unlisted(Set<String> seen) {
+    long now = scheduler.nowMs();
+    for (Machine m : List.copyOf(fleet.all())) {
+      if (seen.contains(m.host())) {
+        missedLists.remove(m.host());
+        continue;
+      }
+      int missed = missedLists.merge(m.host(), 1, Integer::sum);
+      boolean old = now - m.knownSinceMs() > settings.cloudLimits().listLagS() * 2_500 + 5_000;
+      if (missed >= 3 && old && m.empty() && now > fleet.leaseOverMs(m)) {
+        LOG.info("machine {} is neither listed nor heard of: dropped", m.host());
+        missedLists.remove(m.host());
+        fleet.drop(m);
+      }
+    }
+  }
+
+  private void refreshTypes() {
+    if (typesBusy || !budget.tryTake(1)) {
+      return;
+    }
+    typesBusy = true;
+    cloud.types(
+        answer -> {
+          typesBusy = false;
+          answer.ifPresent(
+              types -> {
+                catalogue.update(types);
+                if (!typesRecorded && writes.spare() && host.mayDecide()) {
+                  typesRecorded = true;
+                  writes.tell(
+                      new Change.Put(Keys.TYPES, TypesRecord.encode(catalogue.types())),
+                      ok -> typesRecorded = ok);
+                }
+              });
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/front/Door.java
@@ -0,0 +1,200 @@
+package org.ploverspindle.front;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.ploverspindle.loop.EventLoop;
+import org.ploverspindle.loop.Rank;
+import org.ploverspindle.settings.Address;
+import org.xnio.XnioWorker;
+
+/**
+ * The HTTP side: routes, limits, and ranks. The I/O thread only reads and writes; what a request
+ * means is found out on the loop, reports first.
+ */
+public final class Door {
+  private static final int MAX_BODY = 64 * 1024;
+  private static final String JOBS = "/submissions";
+
+  /** What the door hands requests to, on the loop. */
+  public interface Desk {
+    void submit(byte[] body, Consumer<Answer> then);
+
+    void poll(String uid, Consumer<Answer> then);
+
+    void withdraw(String uid, Consumer<Answer> then);
+
+    void checkin(byte[] body, Consumer<Answer> then);
+
+    void status(Consumer<Answer> then);
+  }
+
+  private final EventLoop loop;
+  private final Desk desk;
+  private final BooleanSupplier ready;
+  private final int maxUserWork;
+  private final Undertow server;
+
+  public Door(
+      EventLoop loop,
+      XnioWorker worker,
+      Address at,
+      int maxConnections,
+      Desk desk,
+      BooleanSupplier ready) {
+    this.loop = loop;
+    this.desk = desk;
+    this.ready = ready;
+    this.maxUserWork = Math.max(20, maxConnections / 8);
+    HttpHandler limited =
+        Handlers.requestLimitingHandler(maxConnections, maxConnections, this::route);
+    this.server =
+        Undertow.builder()
+            .setWorker(worker)
+            .addHttpListener(at.port(), at.host())
+            .setBufferSize(4096)
+            .setDirectBuffers(true)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 5_000)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+            .setHandler(limited)
+            .build();
+  }
+
+  public void open() {
+    server.start();
+  }
+
+  public void close() {
+    server.stop();
+  }
+
+  private void route(HttpServerExchange exchange) {
+    String path = exchange.getRequestPath();
+    HttpString method = exchange.getRequestMethod();
+    switch (path) {
+      case "/checkin" -> {
+        if (allow(exchange, method, Methods.POST)) {
+          body(exchange, (bytes, then) -> desk.checkin(bytes, then), Rank.REPORT);
+        }
+      }
+      case "/ready" -> {
+        if (allow(exchange, method, Methods.GET)) {
+          send(
+              exchange,
+              ready.getAsBoolean() ? Answer.error(200, "") : Answer.later(503, "not ready", 1));
+        }
+      }
+      case "/status" -> {
+        if (allow(exchange, method, Methods.GET)) {
+          hand(exchange, Rank.SUBMISSION, desk::status);
+        }
+      }
+      case JOBS -> {
+        if (allow(exchange, method, Methods.POST) && admitted(exchange)) {
+          body(exchange, desk::submit, Rank.SUBMISSION);
+        }
+      }
+      default -> job(exchange, path, method);
+    }
+  }
+
+  private void job(HttpServerExchange exchange, String path, HttpString method) {
+    if (!path.startsWith(JOBS + "/")) {
+      send(exchange, Answer.error(404, "no such path"));
+      return;
+    }
+    String rest = path.substring(JOBS.length() + 1);
+    int slash = rest.indexOf('/');
+    if (slash < 0) {
+      if (allow(exchange, method, Methods.GET) && admitted(exchange)) {
+        hand(exchange, Rank.SUBMISSION, then -> desk.poll(rest, then));
+      }
+    } else if (rest.substring(slash).equals("/withdraw")) {
+      if (allow(exchange, method, Methods.POST) && admitted(exchange)) {
+        String uid = rest.substring(0, slash);
+        body(exchange, (bytes, then) -> desk.withdraw(uid, then), Rank.SUBMISSION);
+      }
+    } else {
+      send(exchange, Answer.error(404, "no such path"));
+    }
+  }
+
+  private static boolean allow(HttpServerExchange exchange, HttpString method, HttpString only) {
+    if (method.equals(only)) {
+      return true;
+    }
+    exchange.getResponseHeaders().put(Headers.ALLOW, only.toString());
+    send(exchange, Answer.error(405, "the method must be " + only));
+    return false;
+  }
+
+  /** Under overload users are told at once to come back: workers and decisions go first. */
+  private boolean admitted(HttpServerExchange exchange) {
+    if (loop.backlog(Rank.SUBMISSION) < maxUserWork) {
+      return true;
+    }
+    send(exchange, Answer.later(429, "too much to do", 2));
+    return false;
+  }
+
+  private interface WithBody {
+    void accept(byte[] body, Consumer<Answer> then);
+  }
+
+  private void body(HttpServerExchange exchange, WithBody work, Rank rank) {
+    Receiver receiver = exchange.getRequestReceiver();
+    receiver.setMaxBufferSize(MAX_BODY);
+    receiver.receiveFullBytes(
+        (ex, bytes) -> hand(ex, rank, then -> work.accept(bytes, then)),
+        (ex, e) -> {
+          boolean tooLarge = e instanceof Receiver.RequestToLargeException;
+          if (tooLarge || ex.getRequestContentLength() > MAX_BODY) {
+            ex.setPersistent(false);
+            send(ex, Answer.error(413, "the body is too large"));
+          } else {
+            ex.setPersistent(false);
+            send(ex, Answer.error(400, "the body could not be read"));
+          }
+        });
+  }
+
+  private void hand(HttpServerExchange exchange, Rank rank, Consumer<Consumer<Answer>> work) {
+    Runnable task = () -> work.accept(a -> reply(exchange, a));
+    if (exchange.isInIoThread()) {
+      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> loop.execute(rank, task));
+    } else {
+      loop.execute(rank, task);
+    }
+  }
+
+  private static void reply(HttpServerExchange exchange, Answer answer) {
+    exchange.getIoThread().execute(() -> send(exchange, answer));
+  }
+
+  private static void send(HttpServerExchange exchange, Answer answer) {
+    if (exchange.isResponseStarted()) {
+      return;
+    }
+    exchange.setStatusCode(answer.status());
+    if (answer.retryAfterS() > 0) {
+      exchange.getResponseHeaders().put(Headers.RETRY_AFTER, answer.retryAfterS());
+    }
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
+    exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, answer.body().length);
+    exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/front/SubmissionCodec.java
@@ -0,0 +1,150 @@
+package org.ploverspindle.front;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.regex.Pattern;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+
+/** The wire form of submissions, checked field by field. */
+final class SubmissionCodec {
+  /** The form of the protocol's ids: a word, a dash, a number. */
+  private static final Pattern UID = Pattern.compile("[a-z][a-z0-9]{0,31}-[0-9]{1,18}");
+
+  private static final int MAX_TEXT = 200;
+
+  /** A field that is missing or invalid. */
+  static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+      super(message);
+    }
+  }
+
+  private final ObjectNode body;
+
+  private SubmissionCodec(ObjectNode body) {
+    this.body = body;
+  }
+
+  static boolean validUid(String uid) {
+    return UID.matcher(uid).matches();
+  }
+
+  /** The id alone, when it can be read: a repeat is answered by it, whatever else the body says. */
+  static Optional<String> uid(ObjectNode body) {
+    return Optional.of(body.path("uid"))
+        .filter(JsonNode::isTextual)
+        .map(JsonNode::asText)
+        .filter(SubmissionCodec::validUid);
+  }
+
+  static JobSpec decode(ObjectNode body) throws Malformed {
+    return new SubmissionCodec(body).decode();
+  }
+
+  private JobSpec decode() throws Malformed {
+    String uid = uid(body).orElseThrow(() -> new Malformed("uid"));
+    JsonNode pieces = body.path("pieces");
+    if (!pieces.isIntegralNumber()
+        || !pieces.canConvertToInt()
+        || pieces.asInt() < 1
+        || pieces.asInt() > JobSpec.MAX_TASKS) {
+      throw new Malformed("pieces");
+    }
+    double cores = amount("cores");
+    double accelerators = amount("accelerators");
+    double memory = amount("mem_gb");
+    Shape shape =
+        switch (text("shape")) {
+          case "batch" -> Shape.BATCH;
+          case "daemon" -> Shape.SERVICE;
+          default -> throw new Malformed("shape");
+        };
+    Urgency urgency =
+        switch (text("urgency")) {
+          case "critical" -> Urgency.CRITICAL;
+          case "high" -> Urgency.HIGH;
+          case "normal" -> Urgency.NORMAL;
+          case "best_effort" -> Urgency.BEST_EFFORT;
+          default -> throw new Malformed("urgency");
+        };
+    return new JobSpec(
+        uid,
+        text("jobclass"),
+        text("owner"),
+        shape,
+        urgency,
+        pieces.asInt(),
+        cores,
+        accelerators,
+        memory,
+        names("flavours"),
+        optionalText("site"),
+        flag("one_zone"),
+        flag("apart"),
+        flag("loaners"),
+        optionalText("bundle").orElse(""),
+        amount("image_gb"),
+        amount("expected_s"),
+        amount("save_every_s"),
+        amount("save_cost_s"),
+        absent("due_s") ? OptionalDouble.empty() : OptionalDouble.of(amount("due_s")));
+  }
+
+  private boolean absent(String field) {
+    return body.path(field).isMissingNode() || body.path(field).isNull();
+  }
+
+  private double amount(String field) throws Malformed {
+    JsonNode n = body.path(field);
+    double value = n.asDouble();
+    if (!n.isNumber() || !Double.isFinite(value) || value < 0 || value > 1e12) {
+      throw new Malformed(field);
+    }
+    return value;
+  }
+
+  private String text(String field) throws Malformed {
+    JsonNode n = body.path(field);
+    if (!n.isTextual() || n.asText().isEmpty() || n.asText().length() > MAX_TEXT) {
+      throw new Malformed(field);
+    }
+    return n.asText();
+  }
+
+  private Optional<String> optionalText(String field) throws Malformed {
+    return absent(field) ? Optional.empty() : Optional.of(text(field));
+  }
+
+  private boolean flag(String field) throws Malformed {
+    JsonNode n = body.path(field);
+    if (!n.isBoolean()) {
+      throw new Malformed(field);
+    }
+    return n.asBoolean();
+  }
+
+  private Optional<List<String>> names(String field) throws Malformed {
+    if (absent(field)) {
+      return Optional.empty();
+    }
+    if (!body.path(field).isArray()) {
+      throw new Malformed(field);
+    }
+    List<String> names = new ArrayList<>();
+    for (JsonNode n : body.path(field)) {
+      if (!n.isTextual() || n.asText().length() > MAX_TEXT) {
+        throw new Malformed(field);
+      }
+      names.add(n.asText());
+    }
+    return Optional.of(List.copyOf(names));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/jobs/JobSpec.java
@@ -0,0 +1,39 @@
+package org.ploverspindle.jobs;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+
+/** What a user asked for; never changes. */
+public record JobSpec(
+    String uid,
+    String jobClass,
+    String team,
+    Shape shape,
+    Urgency urgency,
+    int tasks,
+    double cores,
+    double accelerators,
+    double memoryGb,
+    Optional<List<String>> types,
+    Optional<String> zone,
+    boolean oneZone,
+    boolean apart,
+    boolean spot,
+    String image,
+    double imageGb,
+    double expectedS,
+    double saveEveryS,
+    double saveCostS,
+    OptionalDouble dueS) {
+
+  public static final int MAX_TASKS = 100_000;
+
+  public Resources perTask() {
+    return Resources.needed(cores, accelerators, memoryGb);
+  }
+
+  public boolean saves() {
+    return saveEveryS > 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/jobs/JobTable.java
@@ -0,0 +1,106 @@
+package org.ploverspindle.jobs;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecRecord;
+import org.ploverspindle.state.StateStore.Entry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The jobs that are not over, and cancelled ones until their tasks are gone. */
+public final class JobTable {
+  private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
+
+  private final Replica replica;
+  private final Catalogue catalogue;
+  private final TeamUsage teams;
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+
+  public JobTable(Replica replica, Catalogue catalogue, TeamUsage teams) {
+    this.replica = replica;
+    this.catalogue = catalogue;
+    this.teams = teams;
+  }
+
+  /**
+   * Every job that is not done. Cancelled ones are among them as their tasks may still be there.
+   */
+  public List<Job> loadAll() {
+    List<Job> loaded = new ArrayList<>();
+    for (Entry e : replica.under(Keys.SPECS).values()) {
+      add(e).ifPresent(loaded::add);
+    }
+    return loaded;
+  }
+
+  /** Adds the job of a spec record, if it is readable, not done, and not known yet. */
+  public Optional<Job> add(Entry specEntry) {
+    String uid = specEntry.key().substring(Keys.SPECS.length());
+    if (jobs.containsKey(uid) || replica.get(Keys.done(uid)).isPresent()) {
+      return Optional.empty();
+    }
+    boolean cancelled = replica.get(Keys.cancel(uid)).isPresent();
+    if (cancelled && replica.under(Keys.progressOf(uid)).isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<SpecRecord> record = SpecRecord.decode(uid, specEntry.value());
+    if (record.isEmpty()) {
+      LOG.error("the record {} can't be read and is left as it is", specEntry.key());
+      return Optional.empty();
+    }
+    JobSpec spec = record.get().spec();
+    Optional<Integer> team = teams.index(spec.team());
+    if (team.isEmpty()) {
+      LOG.error("job {} belongs to team {}, which the settings no longer name", uid, spec.team());
+      return Optional.empty();
+    }
+    Job job =
+        new Job(
+            spec,
+            record.get().acceptedWallMs(),
+            record.get().chunk(),
+            team.get(),
+            fitting(spec),
+            spec.zone().map(catalogue::zone).orElse(-1),
+            catalogue.zoneCount());
+    if (cancelled) {
+      job.cancel();
+    }
+    jobs.put(uid, job);
+    return Optional.of(job);
+  }
+
+  /** Machine types that the job allows and that one of its tasks fits on, by index. */
+  private BitSet fitting(JobSpec spec) {
+    BitSet fitting = new BitSet();
+    for (int i = 0; i < catalogue.types().size(); i++) {
+      MachineType type = catalogue.type(i);
+      if (spec.types().map(t -> t.contains(type.name())).orElse(true)
+          && spec.perTask().fitsIn(type.size())) {
+        fitting.set(i);
+      }
+    }
+    return fitting;
+  }
+
+  public Optional<Job> get(String uid) {
+    return Optional.ofNullable(jobs.get(uid));
+  }
+
+  public Collection<Job> all() {
+    return jobs.values();
+  }
+
+  public void remove(Job job) {
+    jobs.remove(job.uid());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/jobs/TeamUsage.java
@@ -0,0 +1,63 @@
+package org.ploverspindle.jobs;
+
+import java.util.List;
+import java.util.Optional;
+import org.ploverspindle.settings.Settings;
+
+/** What each team's tasks take, from the intent until they are proven gone, and its bounds. */
+public final class TeamUsage {
+  private final List<Settings.Team> teams;
+  private final long[] cores;
+  private final long[] accelerators;
+
+  public TeamUsage(List<Settings.Team> teams) {
+    this.teams = teams;
+    this.cores = new long[teams.size()];
+    this.accelerators = new long[teams.size()];
+  }
+
+  public Optional<Integer> index(String name) {
+    for (int i = 0; i < teams.size(); i++) {
+      if (teams.get(i).name().equals(name)) {
+        return Optional.of(i);
+      }
+    }
+    return Optional.empty();
+  }
+
+  public void add(int team, Resources r) {
+    cores[team] += r.cores();
+    accelerators[team] += r.accelerators();
+  }
+
+  public void remove(int team, Resources r) {
+    cores[team] -= r.cores();
+    accelerators[team] -= r.accelerators();
+  }
+
+  /** How many more such tasks the team's limit allows. */
+  public int room(int team, Resources perTask) {
+    Settings.Team t = teams.get(team);
+    return Math.min(
+        room(t.coresMax(), cores[team], perTask.cores()),
+        room(t.acceleratorsMax(), accelerators[team], perTask.accelerators()));
+  }
+
+  private static int room(double limit, long used, long each) {
+    if (limit <= 0 || each <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    return (int) Math.max(0, ((long) Math.floor(limit * 1000 + 1e-6) - used) / each);
+  }
+
+  /** Would the team stay within its guarantee with this much more? */
+  public boolean withinGuarantee(int team, Resources more) {
+    Settings.Team t = teams.get(team);
+    return cores[team] + more.cores() <= t.cores() * 1000 + 0.5
+        && accelerators[team] + more.accelerators() <= t.accelerators() * 1000 + 0.5;
+  }
+
+  public long cores(int team) {
+    return cores[team];
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -0,0 +1,237 @@
+package org.ploverspindle.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Condition;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.StateStore.Renewal;
+import org.ploverspindle.state.StateStore.TxnResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads: whoever's key stands in the state service, attached to a hold. The transaction that
+ * makes a leader also raises the token, so tokens grow with leaders and none is used twice.
+ */
+public final class Election {
+  private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+
+  /** What the rest of the process is told; always on the loop. */
+  public interface Listener {
+    /** The term began; the copy holds all that earlier leaders wrote. */
+    void leading(Term term);
+
+    /** The term is over: nothing may be decided any more. */
+    void ended(Term term, String cause);
+  }
+
+  private final Scheduler scheduler;
+  private final StateStore store;
+  private final Replica replica;
+  private final RandomGenerator random;
+  private final Timing timing;
+  private final String member;
+  private final String nonce;
+  private final Listener listener;
+
+  private Optional<Long> hold = Optional.empty();
+  private long holdSentMs;
+  private boolean holdBusy;
+  private boolean acquiring;
+  private long earliestTryMs;
+  private Optional<Term> term = Optional.empty();
+
+  public Election(
+      Scheduler scheduler,
+      StateStore store,
+      Replica replica,
+      RandomGenerator random,
+      Timing timing,
+      String member,
+      Listener listener) {
+    this.scheduler = scheduler;
+    this.store = store;
+    this.replica = replica;
+    this.random = random;
+    this.timing = timing;
+    this.member = member;
+    this.nonce = Long.toString(random.nextLong() >>> 1, 36);
+    this.listener = listener;
+    replica.listen(this::changed);
+  }
+
+  public Cancellable start() {
+    return scheduler.every(timing.holdMs() / 20, this::tick);
+  }
+
+  public Optional<Term> term() {
+    return term;
+  }
+
+  /** The leader by the copy, also another node. */
+  public Optional<String> leaderName() {
+    return replica.text(Keys.LEADER, "member");
+  }
+
+  /** May this node decide? Only while its hold certainly lives. */
+  public boolean mayDecide() {
+    return term.isPresent() && scheduler.nowMs() < holdSentMs + timing.holdSurelyMs();
+  }
+
+  /** When the leader key was last known to be ours. */
+  public long lastKnownMs() {
+    return Math.min(holdSentMs, replica.freshAsOfMs());
+  }
+
+  private void tick() {
+    if (!replica.loaded()) {
+      return;
+    }
+    if (hold.isEmpty()) {
+      openHold();
+    } else if (!holdBusy && scheduler.nowMs() - holdSentMs >= timing.holdMs() / 4) {
+      renew();
+    }
+    if (term.isEmpty() && replica.get(Keys.LEADER).isEmpty()) {
+      tryToLead();
+    }
+  }
+
+  private void openHold() {
+    if (holdBusy) {
+      return;
+    }
+    holdBusy = true;
+    long sentMs = scheduler.nowMs();
+    store.openHold(
+        timing.holdMs(),
+        opened -> {
+          holdBusy = false;
+          if (opened.isPresent()) {
+            hold = opened;
+            holdSentMs = sentMs;
+          }
+        });
+  }
+
+  private void renew() {
+    holdBusy = true;
+    long sentMs = scheduler.nowMs();
+    long id = hold.get();
+    store.renewHold(
+        id,
+        result -> {
+          holdBusy = false;
+          if (result == Renewal.RENEWED) {
+            holdSentMs = Math.max(holdSentMs, sentMs);
+          } else if (result == Renewal.GONE) {
+            hold = Optional.empty();
+            end("the hold ended");
+          } else {
+            // Tried again soon, but not in a storm: the service may be refusing us for its rate.
+            scheduler.schedule(100 + random.nextInt(200), () -> {});
+          }
+        });
+  }
+
+  private void tryToLead() {
+    if (acquiring
+        || hold.isEmpty()
+        || scheduler.nowMs() < earliestTryMs
+        || scheduler.nowMs() > holdSentMs + timing.holdSurelyMs() / 2) {
+      return;
+    }
+    acquiring = true;
+    long tokenStamp = replica.get(Keys.TOKEN).map(Entry::stamp).orElse(0L);
+    long token = replica.get(Keys.TOKEN).map(e -> e.value().path("n").asLong(0)).orElse(0L) + 1;
+    JsonNode leader = Cbor.map().put("member", member).put("nonce", nonce).put("token", token);
+    store.txn(
+        new StateStore.Txn(
+            List.of(new Condition(Keys.LEADER, 0), new Condition(Keys.TOKEN, tokenStamp)),
+            List.of(
+                new Change.Put(Keys.LEADER, leader, hold),
+                new Change.Put(Keys.TOKEN, Cbor.map().put("n", token)))),
+        result -> {
+          if (result instanceof TxnResult.NoSuchHold) {
+            hold = Optional.empty();
+          }
+          // Whatever was said, the copy tells who leads: an unanswered try may have succeeded.
+          replica.barrier(
+              ok -> {
+                acquiring = false;
+                earliestTryMs = scheduler.nowMs() + 50 + random.nextInt(400);
+              });
+        });
+  }
+
+  private void changed(String key, Optional<Entry> entry) {
+    if (!key.equals(Keys.LEADER)) {
+      return;
+    }
+    if (entry.isEmpty()) {
+      earliestTryMs = scheduler.nowMs() + random.nextInt(150);
+      end("the leader key is gone");
+      return;
+    }
+    JsonNode value = entry.get().value();
+    boolean ours = value.path("nonce").asText("").equals(nonce);
+    if (!ours) {
+      end("another node leads: " + value.path("member").asText());
+      return;
+    }
+    if (term.isPresent() && term.get().leaderStamp() == entry.get().stamp()) {
+      return;
+    }
+    end("the leader key is a newer one");
+    Term fresh = new Term(value.path("token").asLong(), entry.get().stamp(), scheduler.nowMs());
+    // One more read after our key stood: then the copy has every write of earlier leaders, and
+    // later ones fail on their condition.
+    replica.barrier(ok -> begin(fresh, ok));
+  }
+
+  private void begin(Term fresh, boolean copied) {
+    boolean stillOurs =
+        replica.get(Keys.LEADER).map(e -> e.stamp() == fresh.leaderStamp()).orElse(false);
+    if (!stillOurs || term.isPresent()) {
+      return;
+    }
+    if (!copied) {
+      replica.barrier(ok -> begin(fresh, ok));
+      return;
+    }
+    LOG.info("leading with token {}", fresh.token());
+    term = Optional.of(fresh);
+    listener.leading(fresh);
+  }
+
+  /** Called with any sign that a newer leader exists. */
+  public void deposed(String cause) {
+    end(cause);
+    replica.barrier(ok -> {});
+  }
+
+  private void end(String cause) {
+    if (term.isPresent()) {
+      Term over = term.get();
+      term = Optional.empty();
+      LOG.info("no longer leading with token {}: {}", over.token(), cause);
+      listener.ended(over, cause);
+    }
+  }
+
+  /** Gives the lead up at once, so that others need not wait for the hold to end. */
+  public void resign() {
+    hold.ifPresent(store::closeHold);
+    hold = Optional.empty();
+    end("resigned");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -0,0 +1,471 @@
+package org.ploverspindle.leadership;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.CloudApi;
+import org.ploverspindle.cloud.Rentals;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobTable;
+import org.ploverspindle.jobs.ProgressWriter;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.loop.Scope;
+import org.ploverspindle.placement.Demand;
+import org.ploverspindle.placement.Estimates;
+import org.ploverspindle.placement.Placer;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.LeaderWrites;
+import org.ploverspindle.state.ProgressRecord;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecRecord;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.TokenBucket;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Order;
+import org.ploverspindle.workers.Placement;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One term's leader: rebuilds what earlier leaders recorded, then takes reports, places, and rents.
+ * It is thrown away with its term, so that nothing known in one term is believed in another.
+ */
+public final class Steward {
+  private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
+  private static final long PLACING_PAUSE_MS = 60;
+
+  /** What a steward works with, the same in all terms. */
+  public record Surroundings(
+      Scheduler scheduler,
+      StateStore store,
+      Replica replica,
+      CloudApi cloud,
+      Catalogue catalogue,
+      Settings settings,
+      Policy policy,
+      Timing timing,
+      RandomGenerator random,
+      TokenBucket writes) {}
+
+  private final Surroundings with;
+  private final Term term;
+  private final Election election;
+  private final TeamUsage teams;
+  private final JobTable jobs;
+  private final Fleet fleet;
+  private final Estimates estimates = new Estimates();
+  private final ProgressWriter writer;
+  private final ReportDesk desk;
+  private final Placer placer;
+  private final Rentals rentals;
+  private final Scope duties = new Scope();
+  private long attemptCounter;
+  private boolean placingPlanned;
+  private boolean closed;
+
+  public Steward(Surroundings with, Term term, Election election) {
+    this.with = with;
+    this.term = term;
+    this.election = election;
+    this.teams = new TeamUsage(with.settings().teams());
+    this.jobs = new JobTable(with.replica(), with.catalogue(), teams);
+    this.fleet = new Fleet(with.catalogue(), teams, with.timing(), term);
+    this.writer =
+        new ProgressWriter(
+            with.scheduler(),
+            with.store(),
+            with.replica(),
+            with.writes(),
+            with.settings().stateLimits().txnOps(),
+            term,
+            this::hostName,
+            new WriterEvents());
+    this.desk =
+        new ReportDesk(
+            fleet,
+            term,
+            this::mayDecide,
+            jobs::get,
+            this::owner,
+            writer::isDurablyDone,
+            new DeskEvents());
+    this.placer =
+        new Placer(
+            fleet,
+            jobs,
+            teams,
+            estimates,
+            this::nextAttempt,
+            Math.round(with.settings().workers().reportS() * 2_200 + 1_500),
+            this::placed);
+    this.rentals =
+        new Rentals(
+            with.scheduler(),
+            with.cloud(),
+            with.catalogue(),
+            fleet,
+            with.replica(),
+            new LeaderWrites(with.store(), with.replica(), with.writes(), term),
+            with.policy(),
+            with.settings(),
+            with.random(),
+            term,
+            new RentalHost());
+  }
+
+  public void start() {
+    long now = with.scheduler().nowMs();
+    for (Job job : jobs.loadAll()) {
+      rebuild(job, now);
+    }
+    LOG.info(
+        "took over {} jobs and {} machines under token {}",
+        jobs.all().size(),
+        fleet.all().size(),
+        term.token());
+    with.replica().listen(this::recordChanged);
+    duties.add(rentals.start());
+    duties.add(with.scheduler().every(400, this::tick));
+    for (Job job : List.copyOf(jobs.all())) {
+      tidy(job);
+    }
+    planPlacing();
+  }
+
+  public void close() {
+    closed = true;
+    writer.close();
+    duties.cancel();
+  }
+
+  public Term term() {
+    return term;
+  }
+
+  private boolean mayDecide() {
+    return !closed && election.mayDecide();
+  }
+
+  /** Unique over all leaders: the token is part of it. */
+  private long nextAttempt() {
+    return term.token() << 24 | ++attemptCounter;
+  }
+
+  private ProgressRecord.Host hostName(Machine m) {
+    return new ProgressRecord.Host(
+        m.host(),
+        with.catalogue().type(m.type()).name(),
+        with.catalogue().zoneName(m.zone()),
+        m.spot());
+  }
+
+  // ---- taking over
+
+  private void rebuild(Job job, long now) {
+    for (Entry e : with.replica().under(Keys.progressOf(job.uid())).values()) {
+      Optional<ProgressRecord> record = ProgressRecord.decode(e.value());
+      int chunk = chunkOf(e.key());
+      if (record.isEmpty() || chunk < 0 || chunk >= job.chunks()) {
+        LOG.error(
+            "the record {} can't be read; its job is not run and it is left as it is", e.key());
+        job.block();
+        continue;
+      }
+      BitSet done = record.get().done();
+      writer.loaded(job, chunk, e.stamp(), done);
+      done.stream().filter(t -> t < job.spec().tasks()).forEach(job::markDone);
+      for (ProgressRecord.Live l : record.get().live()) {
+        rebuildPlacement(job, l, now, e.key());
+      }
+    }
+    if (job.allDone() && !job.cancelled()) {
+      writer.changed(job, 0);
+    }
+  }
+
+  private static int chunkOf(String key) {
+    try {
+      return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  private void rebuildPlacement(Job job, ProgressRecord.Live l, long now, String key) {
+    ProgressRecord.Host h = l.host();
+    Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), now);
+    if (m.isEmpty() || l.task() >= job.spec().tasks()) {
+      LOG.error("{} names a machine or task that can't be: its job is not run", key);
+      job.block();
+    } else if (!job.done().get(l.task()) && job.liveAt(l.task()) == null) {
+      fleet.place(
+          new Placement(job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
+    }
+  }
+
+  // ---- changes made by any node
+
+  private void recordChanged(String key, Optional<Entry> entry) {
+    if (closed || entry.isEmpty()) {
+      return;
+    }
+    if (key.startsWith(Keys.SPECS)) {
+      jobs.add(entry.get());
+      planPlacing();
+    } else if (key.startsWith(Keys.CANCELS)) {
+      jobs.get(key.substring(Keys.CANCELS.length())).ifPresent(this::cancel);
+    }
+  }
+
+  private void cancel(Job job) {
+    if (job.cancelled()) {
+      return;
+    }
+    job.cancel();
+    long now = with.scheduler().nowMs();
+    for (Placement p : List.copyOf(job.live())) {
+      if (p.neverSent()) {
+        fleet.gone(p, now);
+      }
+    }
+    LOG.info("job {} is cancelled with {} tasks out", job.uid(), job.live().size());
+    tidy(job);
+    planPlacing();
+  }
+
+  /** Drops a job that is over as soon as none of its tasks can be anywhere. */
+  private void tidy(Job job) {
+    if (job.over() && job.live().isEmpty()) {
+      writer.over(job);
+      jobs.remove(job);
+    }
+  }
+
+  /** Whose an unrecorded task is: it counts for its team as long as it may run. */
+  private Optional<ReportDesk.Owner> owner(String uid) {
+    return with.replica()
+        .get(Keys.spec(uid))
+        .flatMap(e -> SpecRecord.decode(uid, e.value()))
+        .flatMap(
+            r ->
+                teams.index(r.spec().team()).map(t -> new ReportDesk.Owner(t, r.spec().perTask())));
+  }
+
+  // ---- reports
+
+  /** Orders for a worker. Without a sure lead the report is taken in, and nothing is ordered. */
+  public List<Order> report(Report report) {
+    List<Order> orders = desk.take(report, with.scheduler().nowMs());
+    if (!report.recallS().isEmpty()) {
+      fleet.get(report.host()).ifPresent(this::recalled);
+    }
+    return mayDecide() ? orders : List.of();
+  }
+
+  /**
+   * The cloud takes the machine back: what can't end in time is stopped, so that it saves its work
+   * or at least starts again elsewhere without waiting for the lease.
+   */
+  private void recalled(Machine m) {
+    double leftS = m.recallS();
+    for (Placement p : List.copyOf(m.placements())) {
+      if (p.stopping()) {
+        continue;
+      }
+      double restS = restS(p);
+      double saveS = p.job().spec().saveCostS();
+      if (restS < leftS - 1) {
+        continue;
+      }
+      if (p.job().spec().saves() && leftS > saveS) {
+        p.stop(Math.max(saveS + 0.5, Math.min(leftS, saveS * 2)));
+      } else if (restS > leftS * 1.5) {
+        p.stop(0);
+      }
+    }
+  }
+
+  private double restS(Placement p) {
+    if (p.job().spec().expectedS() <= 0) {
+      return Double.MAX_VALUE;
+    }
+    double ranS =
+        p.runningSinceMs() < 0 ? 0 : (with.scheduler().nowMs() - p.runningSinceMs()) / 1000.0;
+    return estimates.runS(p.job()) - ranS;
+  }
+
+  private void tick() {
+    long now = with.scheduler().nowMs();
+    if (mayDecide()) {
+      lost(fleet.expire(now));
+      planPlacing();
+    }
+  }
+
+  private void lost(List<Placement> placements) {
+    for (Placement p : placements) {
+      ended(p);
+    }
+  }
+
+  private void ended(Placement p) {
+    if (p.job().over()) {
+      tidy(p.job());
+    } else {
+      writer.changed(p.job(), p.task());
+    }
+    planPlacing();
+  }
+
+  private void planPlacing() {
+    if (!placingPlanned && !closed) {
+      placingPlanned = true;
+      with.scheduler()
+          .schedule(
+              PLACING_PAUSE_MS,
+              () -> {
+                placingPlanned = false;
+                if (mayDecide()) {
+                  placer.run(with.scheduler().nowMs(), with.scheduler().wallMs());
+                }
+              });
+    }
+  }
+
+  private void placed(Placement p) {
+    LOG.debug("{}/{} goes to {}", p.job().uid(), p.task(), p.machine().host());
+    writer.changed(p.job(), p.task());
+  }
+
+  /** Numbers for people. */
+  public String summary() {
+    int up = 0;
+    int out = 0;
+    for (Machine m : fleet.all()) {
+      up += m.up() ? 1 : 0;
+      out += m.placements().size();
+    }
+    return "jobs="
+        + jobs.all().size()
+        + " machines="
+        + fleet.all().size()
+        + " up="
+        + up
+        + " placed="
+        + out
+        + " unwritten="
+        + writer.backlog();
+  }
+
+  private final class WriterEvents implements ProgressWriter.Listener {
+    @Override
+    public void durable() {
+      // Launches go out with the next report of each machine.
+    }
+
+    @Override
+    public void finished(Job job) {
+      LOG.info("job {} is done", job.uid());
+      tidy(job);
+    }
+
+    @Override
+    public void deposed(String cause) {
+      election.deposed(cause);
+    }
+  }
+
+  private final class DeskEvents implements ReportDesk.Listener {
+    @Override
+    public void completed(Placement p, long nowMs) {
+      if (p.runningSinceMs() >= 0) {
+        estimates.observed(p.job(), (nowMs - p.runningSinceMs()) / 1000.0);
+      }
+      completedUnplaced(p.job(), p.task());
+    }
+
+    @Override
+    public void completedUnplaced(Job job, int task) {
+      if (job.over()) {
+        tidy(job);
+        return;
+      }
+      job.markDone(task);
+      writer.changed(job, task);
+      planPlacing();
+    }
+
+    @Override
+    public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {
+      Job job = p.job();
+      if (cause != Report.Cause.NONE) {
+        LOG.info(
+            "{}/{} ended on {}: {}{}",
+            job.uid(),
+            p.task(),
+            p.machine().host(),
+            cause,
+            saved ? ", saved" : "");
+      }
+      switch (cause) {
+        case ERROR -> {
+          job.failedOn(p.machine().host(), nowMs);
+          job.putOff(p.task(), nowMs + Math.min(20_000, 1_000L * (1 + job.failures())));
+          suspect(p.machine(), job);
+        }
+        case NO_ROOM, BUSY -> job.putOff(p.task(), nowMs + 1_000);
+        case NO_SUCH -> job.putOff(p.task(), nowMs + 4_000);
+        default -> {}
+      }
+      Steward.this.ended(p);
+    }
+
+    @Override
+    public void moved(Placement p) {
+      // Shown by the next write of its record.
+    }
+  }
+
+  /**
+   * Tasks of different jobs failed here in a row, or many of a job that completes elsewhere: the
+   * machine is at fault. A job that fails everywhere says nothing on its machines.
+   */
+  private void suspect(Machine m, Job job) {
+    if (!m.draining()
+        && !job.looksBroken()
+        && (m.failedJobs() >= 2 || m.failuresInRow() >= 3 && job.completions() > 0)) {
+      LOG.info("machine {} fails its tasks and is returned", m.host());
+      m.drain();
+    }
+  }
+
+  private final class RentalHost implements Rentals.Host {
+    @Override
+    public List<Demand.Wanted> wanted(List<Demand.Offer> offers, List<Demand.Coming> coming) {
+      long now = with.scheduler().nowMs();
+      long wall = with.scheduler().wallMs();
+      List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
+      return new Demand(with.catalogue(), teams, estimates, with.policy().drainS())
+          .plan(placer.waitingJobs(now, wall), jobs.all(), usable, coming, offers, now, wall);
+    }
+
+    @Override
+    public void lost(List<Placement> placements) {
+      Steward.this.lost(placements);
+    }
+
+    @Override
+    public boolean mayDecide() {
+      return Steward.this.mayDecide();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/Timing.java
@@ -0,0 +1,38 @@
+package org.ploverspindle.leadership;
+
+import org.ploverspindle.settings.Settings;
+
+/**
+ * The times that the safety argument rests on (docs/safety.md), all on this node's steady clock.
+ *
+ * @param holdMs how long a hold lives in the state service when it is not renewed
+ * @param answerMs how long after it last knew the state a leader may go on answering reports
+ * @param leaseMs after this much silence a worker's lease has certainly run out
+ */
+public record Timing(long holdMs, long answerMs, long leaseMs) {
+  /** Clocks drift apart by at most 0.05 %; we allow for four times as much. */
+  private static final double DRIFT = 1.002;
+
+  /** For timers that fire late and for a start or stop on its way inside a machine. */
+  private static final double MARGIN_S = 2.5;
+
+  public static Timing of(Settings.WorkerLimits workers) {
+    double lease = workers.leaseS() * DRIFT + 0.3;
+    // A cancellation told right after the leader last read the state is unknown to it; its last
+    // answer renews a lease once more. All of that must end before cancel_s.
+    double answer = Math.max(0, (workers.cancelS() - MARGIN_S) / DRIFT - lease);
+    return new Timing(HOLD_MS, Math.round(answer * 1000), Math.round(lease * 1000));
+  }
+
+  private static final long HOLD_MS = 5_000;
+
+  /** From the send of the last answered renewal on, the hold lives at least this long. */
+  public long holdSurelyMs() {
+    return Math.round(holdMs / DRIFT) - 50;
+  }
+
+  /** After this long in a term no earlier leader's answers keep any lease alive. */
+  public long takeoverSilenceMs() {
+    return Math.round((answerMs + leaseMs) * DRIFT) + 300;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/loop/Duty.java
@@ -0,0 +1,39 @@
+package org.ploverspindle.loop;
+
+/** A long-lived duty: runs again a period after each run ended, until it is cancelled. */
+final class Duty implements Cancellable {
+  private final Scheduler scheduler;
+  private final long periodMs;
+  private final Runnable work;
+  private boolean cancelled;
+
+  Duty(Scheduler scheduler, long periodMs, Runnable work) {
+    this.scheduler = scheduler;
+    this.periodMs = periodMs;
+    this.work = work;
+  }
+
+  Duty start() {
+    scheduler.schedule(periodMs, this::run);
+    return this;
+  }
+
+  private void run() {
+    if (cancelled) {
+      return;
+    }
+    try {
+      work.run();
+    } finally {
+      // Rescheduled also when a run failed: one bad record must not end a duty for good.
+      if (!cancelled) {
+        scheduler.schedule(periodMs, this::run);
+      }
+    }
+  }
+
+  @Override
+  public void cancel() {
+    cancelled = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -0,0 +1,192 @@
+package org.ploverspindle.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
+
+/**
+ * What to rent for tasks that fit nowhere. Machines that boot, and rentals in flight, are room for
+ * them first; and as many cores as drain the work in time are enough, since tasks end and make
+ * room.
+ */
+public final class Demand {
+  /** A group's kind that may be rented from now, and how many machines at most. */
+  public record Offer(int type, int zone, boolean spot, int room) {}
+
+  public record Wanted(int type, int zone, boolean spot, int count) {}
+
+  /** A machine that is on its way. */
+  public record Coming(int type, int zone, boolean spot) {}
+
+  private static final class Virtual {
+    private final Coming what;
+    private Resources free;
+
+    Virtual(Coming what, Resources free) {
+      this.what = what;
+      this.free = free;
+    }
+  }
+
+  private static final class OpenOffer {
+    private final Offer offer;
+    private int taken;
+
+    OpenOffer(Offer offer) {
+      this.offer = offer;
+    }
+
+    int room() {
+      return offer.room() - taken;
+    }
+  }
+
+  private final Catalogue catalogue;
+  private final TeamUsage teams;
+  private final Estimates estimates;
+  private final double drainS;
+  private final List<Virtual> coming = new ArrayList<>();
+  private final List<OpenOffer> offers = new ArrayList<>();
+  private double coresAllowed;
+
+  public Demand(Catalogue catalogue, TeamUsage teams, Estimates estimates, double drainS) {
+    this.catalogue = catalogue;
+    this.teams = teams;
+    this.estimates = estimates;
+    this.drainS = drainS;
+  }
+
+  /**
+   * @param waiting jobs with waiting tasks, the most pressing first
+   * @param machines machines that are up and take tasks
+   */
+  public List<Wanted> plan(
+      List<Job> waiting,
+      Collection<Job> all,
+      List<Machine> machines,
+      List<Coming> comingNow,
+      List<Offer> offersNow,
+      long nowMs,
+      long wallMs) {
+    for (Coming c : comingNow) {
+      coming.add(new Virtual(c, catalogue.type(c.type()).size()));
+    }
+    offersNow.forEach(o -> offers.add(new OpenOffer(o)));
+    double have = 0;
+    for (Machine m : machines) {
+      have += m.size().cores();
+    }
+    for (Virtual v : coming) {
+      have += v.free.cores();
+    }
+    coresAllowed = coresNeeded(all, nowMs, wallMs) - have;
+    for (Job job : waiting) {
+      serve(job, machines);
+    }
+    List<Wanted> wanted = new ArrayList<>();
+    for (OpenOffer o : offers) {
+      if (o.taken > 0) {
+        wanted.add(new Wanted(o.offer.type(), o.offer.zone(), o.offer.spot(), o.taken));
+      }
+    }
+    return wanted;
+  }
+
+  /** Cores that finish each job's work within its window, in thousandths. */
+  private double coresNeeded(Collection<Job> all, long nowMs, long wallMs) {
+    double needed = 0;
+    for (Job job : all) {
+      if (job.over() || job.blocked()) {
+        continue;
+      }
+      double each = job.perTask().cores();
+      int open = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+      if (job.spec().shape() == Shape.SERVICE) {
+        needed += each * (open + job.live().size());
+        continue;
+      }
+      double runS = Math.max(1, estimates.runS(job));
+      double leftS = open * runS;
+      for (Placement p : job.live()) {
+        double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
+        leftS += Math.max(runS * 0.1, runS - ranS);
+      }
+      double window =
+          job.spec().dueS().isPresent()
+              ? job.spec().dueS().getAsDouble() - (wallMs - job.acceptedWallMs()) / 1000.0
+              : drainS;
+      double horizon = Math.max(runS, Math.min(window, drainS));
+      needed += each * Math.min(open + job.live().size(), leftS / horizon);
+    }
+    return needed;
+  }
+
+  private void serve(Job job, List<Machine> machines) {
+    int need = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+    for (Virtual v : coming) {
+      if (need <= 0) {
+        return;
+      }
+      if (allowed(job, v.what.type(), v.what.zone(), v.what.spot())) {
+        need -= fill(v, job, need);
+      }
+    }
+    boolean anywhere =
+        machines.stream().anyMatch(m -> Placer.allows(job, m))
+            || coming.stream()
+                .anyMatch(v -> allowed(job, v.what.type(), v.what.zone(), v.what.spot()));
+    while (need > 0 && (coresAllowed > 0 || !anywhere)) {
+      Optional<OpenOffer> offer = cheapest(job, need);
+      if (offer.isEmpty()) {
+        return;
+      }
+      OpenOffer o = offer.get();
+      o.taken++;
+      Resources size = catalogue.type(o.offer.type()).size();
+      coresAllowed -= size.cores();
+      Virtual fresh = new Virtual(new Coming(o.offer.type(), o.offer.zone(), o.offer.spot()), size);
+      coming.add(fresh);
+      need -= fill(fresh, job, need);
+      anywhere = true;
+    }
+  }
+
+  private static int fill(Virtual v, Job job, int need) {
+    int n = Math.min(need, v.free.times(job.perTask()));
+    for (int i = 0; i < n; i++) {
+      v.free = v.free.minus(job.perTask());
+    }
+    return n;
+  }
+
+  private static boolean allowed(Job job, int type, int zone, boolean spot) {
+    return job.types().get(type) && (job.spec().spot() || !spot) && job.zoneAllowed(zone);
+  }
+
+  /** Least price for each task that would run there; among equals the group with most room. */
+  private Optional<OpenOffer> cheapest(Job job, int need) {
+    OpenOffer best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (OpenOffer o : offers) {
+      if (o.room() <= 0 || !allowed(job, o.offer.type(), o.offer.zone(), o.offer.spot())) {
+        continue;
+      }
+      int slots = catalogue.type(o.offer.type()).size().times(job.perTask());
+      double cost = catalogue.type(o.offer.type()).price(o.offer.spot()) / Math.min(slots, need);
+      if (cost < bestCost - 1e-9
+          || best != null && cost < bestCost + 1e-9 && o.room() > best.room()) {
+        best = o;
+        bestCost = cost;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -0,0 +1,141 @@
+package org.ploverspindle.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobTable;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
+
+/**
+ * Puts waiting tasks on machines that have room: the most pressing job first, machines packed
+ * tightly.
+ */
+public final class Placer {
+  /** Told of every placement; its intent must be recorded next. */
+  public interface Listener {
+    void placed(Placement p);
+  }
+
+  private final Fleet fleet;
+  private final JobTable jobs;
+  private final TeamUsage teams;
+  private final Estimates estimates;
+  private final LongSupplier nextAttempt;
+  private final long silenceMs;
+  private final Listener listener;
+
+  public Placer(
+      Fleet fleet,
+      JobTable jobs,
+      TeamUsage teams,
+      Estimates estimates,
+      LongSupplier nextAttempt,
+      long silenceMs,
+      Listener listener) {
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.teams = teams;
+    this.estimates = estimates;
+    this.nextAttempt = nextAttempt;
+    this.silenceMs = silenceMs;
+    this.listener = listener;
+  }
+
+  /** Jobs with tasks that could start now, in the order in which they are served. */
+  public List<Job> waitingJobs(long nowMs, long wallMs) {
+    List<Job> waiting = new ArrayList<>();
+    for (Job job : jobs.all()) {
+      if (!job.over() && !job.blocked() && !job.waiting().isEmpty() && !job.held(nowMs)) {
+        waiting.add(job);
+      }
+    }
+    waiting.sort(
+        Comparator.comparing((Job j) -> j.spec().urgency())
+            .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
+            .thenComparingDouble(j -> slackS(j, wallMs))
+            .thenComparing(Job::uid));
+    return waiting;
+  }
+
+  /**
+   * Seconds left before the job must run to be done when due; jobs without a due time come last.
+   */
+  public double slackS(Job job, long wallMs) {
+    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
+    if (job.spec().dueS().isEmpty()) {
+      return 1e6 - waitedS;
+    }
+    double slack = job.spec().dueS().getAsDouble() - waitedS - estimates.runS(job);
+    // What is late already yields to what can still be done in time.
+    return slack < -estimates.runS(job) - 5 ? 1e5 - waitedS : slack;
+  }
+
+  public void run(long nowMs, long wallMs) {
+    List<Machine> usable = new ArrayList<>();
+    for (Machine m : fleet.all()) {
+      if (m.usable(nowMs, silenceMs)) {
+        usable.add(m);
+      }
+    }
+    if (usable.isEmpty()) {
+      return;
+    }
+    for (Job job : waitingJobs(nowMs, wallMs)) {
+      place(job, usable, nowMs);
+    }
+  }
+
+  private void place(Job job, List<Machine> usable, long nowMs) {
+    int task = nextTask(job, 0, nowMs);
+    while (task >= 0 && teams.room(job.team(), job.perTask()) > 0) {
+      Machine best = best(job, usable);
+      if (best == null) {
+        return;
+      }
+      Placement p =
+          new Placement(
+              job, task, nextAttempt.getAsLong(), best, best.tenure(), Placement.Phase.INTENT);
+      fleet.place(p);
+      listener.placed(p);
+      task = nextTask(job, task + 1, nowMs);
+    }
+  }
+
+  private static int nextTask(Job job, int from, long nowMs) {
+    for (int t = job.waiting().nextSetBit(from); t >= 0; t = job.waiting().nextSetBit(t + 1)) {
+      if (!job.isPutOff(t, nowMs)) {
+        return t;
+      }
+    }
+    return -1;
+  }
+
+  /** The machine that is left with the least room; one that has the image comes before others. */
+  private static Machine best(Job job, List<Machine> usable) {
+    Machine best = null;
+    long bestScore = Long.MAX_VALUE;
+    for (Machine m : usable) {
+      if (!allows(job, m) || !job.perTask().fitsIn(m.free())) {
+        continue;
+      }
+      long score = m.free().cores() + (m.hasImage(job.spec().image()) ? 0 : 1_000_000L);
+      if (score < bestScore) {
+        bestScore = score;
+        best = m;
+      }
+    }
+    return best;
+  }
+
+  /** Type, kind and zone as the job demands, given where its other tasks are. */
+  static boolean allows(Job job, Machine m) {
+    return job.types().get(m.type())
+        && (job.spec().spot() || !m.spot())
+        && job.zoneAllowed(m.zone());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/settings/SettingsFile.java
@@ -0,0 +1,271 @@
+package org.ploverspindle.settings;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * Reads the platform's TOML. Unknown fields are ignored; every missing or invalid one is reported
+ * by name, all of them at once, so that an operator mends a file in one go.
+ */
+public final class SettingsFile {
+  private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
+  private static final Address NOWHERE = new Address("0.0.0.0", 0);
+
+  private final String file;
+  private final List<String> lines;
+  private final List<Problem> problems = new ArrayList<>();
+
+  private SettingsFile(String file, List<String> lines) {
+    this.file = file;
+    this.lines = lines;
+  }
+
+  public static Settings load(Path path) throws InvalidSettings {
+    try {
+      return parse(path.toString(), Files.readString(path));
+    } catch (NoSuchFileException e) {
+      throw new InvalidSettings(
+          List.of(new Problem(path.toString(), 0, "", "there is no such file")));
+    } catch (IOException e) {
+      throw new InvalidSettings(
+          List.of(new Problem(path.toString(), 0, "", "can't be read: " + e.getMessage())));
+    }
+  }
+
+  public static Settings parse(String file, String text) throws InvalidSettings {
+    JsonNode root;
+    try {
+      root = new ObjectMapper(new TomlFactory()).readTree(text);
+    } catch (JsonProcessingException e) {
+      JsonLocation at = e.getLocation();
+      throw new InvalidSettings(
+          List.of(
+              new Problem(
+                  file,
+                  at == null ? 0 : at.getLineNr(),
+                  "",
+                  "not TOML: " + e.getOriginalMessage())));
+    }
+    SettingsFile reader = new SettingsFile(file, text.lines().toList());
+    Settings settings = reader.read(root);
+    if (!reader.problems.isEmpty()) {
+      throw new InvalidSettings(reader.problems);
+    }
+    return settings;
+  }
+
+  private Settings read(JsonNode root) {
+    JsonNode params = table(root, "params");
+    JsonNode workers = table(params, "params.workers");
+    JsonNode state = table(params, "params.state");
+    JsonNode cloud = table(params, "params.cloud");
+    JsonNode quota = table(params, "params.quota");
+    JsonNode outside = table(root, "outside");
+    Settings settings =
+        new Settings(
+            text(root, "member"),
+            text(root, "location"),
+            address(root, "front"),
+            address(root, "back"),
+            members(root),
+            address(outside, "outside.cloud"),
+            address(outside, "outside.state"),
+            zones(params),
+            amount(params, "params.skew_ms", 0),
+            teams(params),
+            objectives(params),
+            new Settings.WorkerLimits(
+                amount(workers, "params.workers.report_s", 0.01),
+                amount(workers, "params.workers.lease_s", 0.1),
+                amount(workers, "params.workers.cancel_s", 0.1)),
+            new Settings.StateLimits(
+                amount(state, "params.state.rps", 1),
+                amount(state, "params.state.write_rps", 1),
+                amount(state, "params.state.value_kb", 1),
+                (int) amount(state, "params.state.txn_ops", 4)),
+            new Settings.CloudLimits(
+                amount(cloud, "params.cloud.rps", 0.1),
+                amount(cloud, "params.cloud.list_lag_s", 0)),
+            new Settings.Quota(
+                amount(quota, "params.quota.cores", 0.001),
+                amount(quota, "params.quota.ram_mb", 1),
+                (int) amount(quota, "params.quota.max_connections", 16)));
+    checkTogether(settings);
+    return settings;
+  }
+
+  private void checkTogether(Settings s) {
+    Set<String> names = new HashSet<>(Set.of(s.member()));
+    for (Settings.Member m : s.members()) {
+      if (!names.add(m.name())) {
+        report("members.member", "\"" + m.name() + "\" stands twice");
+      }
+    }
+    Set<String> teams = new HashSet<>();
+    for (Settings.Team t : s.teams()) {
+      if (!teams.add(t.name())) {
+        report("params.teams.name", "\"" + t.name() + "\" stands twice");
+      }
+      if (t.coresMax() > 0 && t.coresMax() < t.cores()
+          || t.acceleratorsMax() > 0 && t.acceleratorsMax() < t.accelerators()) {
+        report("params.teams.cpus_max", "the limit of \"" + t.name() + "\" is below its guarantee");
+      }
+    }
+    if (s.workers().leaseS() >= s.workers().cancelS()) {
+      report(
+          "params.workers.cancel_s",
+          "must be longer than lease_s: a machine that is cut off stops only when its lease ends");
+    }
+  }
+
+  private List<Settings.Member> members(JsonNode root) {
+    List<Settings.Member> members = new ArrayList<>();
+    for (JsonNode m : tables(root, "members")) {
+      members.add(
+          new Settings.Member(
+              text(m, "members.member"),
+              text(m, "members.location"),
+              address(m, "members.address")));
+    }
+    return members;
+  }
+
+  private List<String> zones(JsonNode params) {
+    List<String> zones = new ArrayList<>();
+    JsonNode list = params.path("zones");
+    if (!list.isArray() || list.isEmpty()) {
+      report("params.zones", "a list of at least one zone is needed");
+      return zones;
+    }
+    for (JsonNode z : list) {
+      if (!z.isTextual() || z.asText().isBlank()) {
+        report("params.zones", "every zone must be a name");
+      } else {
+        zones.add(z.asText());
+      }
+    }
+    return zones;
+  }
+
+  private List<Settings.Team> teams(JsonNode params) {
+    List<Settings.Team> teams = new ArrayList<>();
+    for (JsonNode t : tables(params, "params.teams")) {
+      teams.add(
+          new Settings.Team(
+              text(t, "params.teams.name"),
+              amount(t, "params.teams.cpus", 0),
+              amount(t, "params.teams.cpus_max", 0),
+              amount(t, "params.teams.gpus", 0),
+              amount(t, "params.teams.gpus_max", 0)));
+    }
+    if (teams.isEmpty()) {
+      report("params.teams", "at least one team is needed");
+    }
+    return teams;
+  }
+
+  /** Aims are hints; the kinds that have no class or share are kept with empty ones. */
+  private List<Settings.Objective> objectives(JsonNode params) {
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (JsonNode o : tables(params, "params.objectives")) {
+      objectives.add(
+          new Settings.Objective(
+              text(o, "params.objectives.kind"),
+              o.path("class").asText(""),
+              o.path("share").asDouble(0),
+              o.path("times").asDouble(1)));
+    }
+    return objectives;
+  }
+
+  private static String last(String field) {
+    return field.substring(field.lastIndexOf('.') + 1);
+  }
+
+  private JsonNode table(JsonNode in, String field) {
+    JsonNode node = in.path(last(field));
+    if (!node.isObject()) {
+      if (!in.isMissingNode()) {
+        report(field, "this table is missing");
+      }
+      return MissingNode.getInstance();
+    }
+    return node;
+  }
+
+  private Iterable<JsonNode> tables(JsonNode in, String field) {
+    JsonNode node = in.path(last(field));
+    if (node.isMissingNode()) {
+      return List.of();
+    }
+    if (!node.isArray()) {
+      report(field, "must be a list of tables");
+      return List.of();
+    }
+    return node;
+  }
+
+  private String text(JsonNode in, String field) {
+    JsonNode node = in.path(last(field));
+    if (in.isMissingNode()) {
+      return "";
+    }
+    if (!node.isTextual() || node.asText().isBlank()) {
+      report(field, node.isMissingNode() ? "is missing" : "must be a text that is not empty");
+      return "";
+    }
+    return node.asText();
+  }
+
+  private double amount(JsonNode in, String field, double least) {
+    if (in.isMissingNode()) {
+      return least;
+    }
+    JsonNode node = in.path(last(field));
+    if (!node.isNumber() || !Double.isFinite(node.asDouble()) || node.asDouble() < least) {
+      report(
+          field, node.isMissingNode() ? "is missing" : "must be a number, " + least + " or more");
+      return least;
+    }
+    return node.asDouble();
+  }
+
+  private Address address(JsonNode in, String field) {
+    String value = text(in, field);
+    if (value.isEmpty()) {
+      return NOWHERE;
+    }
+    var m = ADDRESS.matcher(value);
+    if (!m.matches() || Integer.parseInt(m.group(2)) > 65535) {
+      report(field, "must be an IP number and a port, as in 10.0.0.1:8080");
+      return NOWHERE;
+    }
+    return new Address(m.group(1), Integer.parseInt(m.group(2)));
+  }
+
+  /** The line is found by the field's last name: the first place where it is set. */
+  private void report(String field, String message) {
+    Pattern set =
+        Pattern.compile("\\s*(\\[\\[?[\\w.]*)?\\b" + Pattern.quote(last(field)) + "\\b.*");
+    int line = 0;
+    for (int i = 0; i < lines.size() && line == 0; i++) {
+      if (set.matcher(lines.get(i)).matches()) {
+        line = i + 1;
+      }
+    }
+    problems.add(new Problem(file, line, field, message));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/HttpStateStore.java
@@ -0,0 +1,177 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.ploverspindle.net.Caller;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.net.Reply;
+
+/** The state service's own protocol. Broken or unexpected answers count as none. */
+public final class HttpStateStore implements StateStore {
+  private static final byte[] EMPTY = {};
+  private static final long TIMEOUT_MS = 2_500;
+
+  private final Caller caller;
+
+  public HttpStateStore(Caller caller) {
+    this.caller = caller;
+  }
+
+  @Override
+  public void txn(Txn txn, Consumer<TxnResult> then) {
+    caller.call(
+        "POST", "/txn", Cbor.write(encode(txn)), TIMEOUT_MS, r -> then.accept(txnResult(r)));
+  }
+
+  public static ObjectNode encode(Txn txn) {
+    ObjectNode body = Cbor.map();
+    ArrayNode conditions = body.putArray("if");
+    for (Condition c : txn.conditions()) {
+      conditions.addObject().put("path", c.key()).put("stamp", c.stamp());
+    }
+    ArrayNode apply = body.putArray("apply");
+    for (Change change : txn.changes()) {
+      if (change instanceof Change.Put put) {
+        ObjectNode node = apply.addObject().put("put", put.key());
+        node.set("v", put.value());
+        put.hold().ifPresent(h -> node.put("hold", h));
+      } else {
+        apply.addObject().put("remove", change.key());
+      }
+    }
+    return body;
+  }
+
+  private static TxnResult txnResult(Reply reply) {
+    if (reply instanceof Reply.NotSent) {
+      return new TxnResult.Refused(0);
+    }
+    if (!(reply instanceof Reply.Answer answer)) {
+      return new TxnResult.Unknown();
+    }
+    Optional<ObjectNode> body = Cbor.readMap(answer.body());
+    switch (answer.status()) {
+      case 200:
+        return body.filter(b -> b.path("ledger").canConvertToLong())
+            .<TxnResult>map(b -> new TxnResult.Committed(b.path("ledger").asLong()))
+            .orElse(new TxnResult.Unknown());
+      case 409:
+        List<String> failed = new ArrayList<>();
+        body.ifPresent(b -> b.path("failed").forEach(f -> failed.add(f.asText())));
+        return new TxnResult.Conflict(failed);
+      case 400:
+        return body.map(b -> b.path("error").asText("")).orElse("").contains("lease")
+            ? new TxnResult.NoSuchHold()
+            : new TxnResult.Refused(400);
+      case 429, 503:
+        return new TxnResult.Refused(answer.status());
+      default:
+        return new TxnResult.Unknown();
+    }
+  }
+
+  private static Optional<ObjectNode> ok(Reply reply) {
+    return reply instanceof Reply.Answer a && a.status() == 200
+        ? Cbor.readMap(a.body())
+        : Optional.empty();
+  }
+
+  private static String escape(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void page(String prefix, String after, int size, Consumer<PageResult> then) {
+    String path =
+        "/kv?starts="
+            + escape(prefix)
+            + (after.isEmpty() ? "" : "&after=" + escape(after))
+            + "&page="
+            + size;
+    caller.call("GET", path, EMPTY, TIMEOUT_MS, r -> then.accept(pageResult(r)));
+  }
+
+  private static PageResult pageResult(Reply reply) {
+    Optional<ObjectNode> body = ok(reply);
+    if (body.isEmpty() || !body.get().path("entries").isArray()) {
+      return new PageResult.Failed();
+    }
+    List<Entry> entries = new ArrayList<>();
+    for (JsonNode e : body.get().path("entries")) {
+      entries.add(new Entry(e.path("path").asText(), e.path("v"), e.path("stamp").asLong()));
+    }
+    return new PageResult.Page(
+        entries, body.get().path("has_next").asBoolean(), body.get().path("ledger").asLong());
+  }
+
+  @Override
+  public void changesAfter(String prefix, long ledger, Consumer<News> then) {
+    String path = "/follow?starts=" + escape(prefix) + "&after=" + ledger + "&wait_ms=0";
+    caller.call("GET", path, EMPTY, TIMEOUT_MS, r -> then.accept(news(r)));
+  }
+
+  private static News news(Reply reply) {
+    if (reply instanceof Reply.Answer a && a.status() == 410) {
+      return new News.TooOld();
+    }
+    Optional<ObjectNode> body = ok(reply);
+    if (body.isEmpty() || !body.get().path("ledger").canConvertToLong()) {
+      return new News.Failed();
+    }
+    List<Changed> changes = new ArrayList<>();
+    for (JsonNode n : body.get().path("news")) {
+      boolean put = n.has("put");
+      changes.add(
+          new Changed(
+              n.path(put ? "put" : "remove").asText(),
+              put ? Optional.of(n.path("v")) : Optional.empty(),
+              n.path("stamp").asLong()));
+    }
+    return new News.Changes(body.get().path("ledger").asLong(), changes);
+  }
+
+  @Override
+  public void openHold(long ttlMs, Consumer<Optional<Long>> then) {
+    caller.call(
+        "POST",
+        "/holds",
+        Cbor.write(Cbor.map().put("ttl_ms", ttlMs)),
+        TIMEOUT_MS,
+        r ->
+            then.accept(
+                ok(r)
+                    .map(b -> b.path("hold"))
+                    .filter(JsonNode::canConvertToLong)
+                    .map(JsonNode::asLong)));
+  }
+
+  @Override
+  public void renewHold(long hold, Consumer<Renewal> then) {
+    caller.call(
+        "POST",
+        "/holds/" + hold + "/extend",
+        EMPTY,
+        TIMEOUT_MS,
+        r -> {
+          if (r instanceof Reply.Answer a && a.status() == 200) {
+            then.accept(Renewal.RENEWED);
+          } else if (r instanceof Reply.Answer a && a.status() == 404) {
+            then.accept(Renewal.GONE);
+          } else {
+            then.accept(Renewal.FAILED);
+          }
+        });
+  }
+
+  @Override
+  public void closeHold(long hold) {
+    caller.call("DELETE", "/holds/" + hold, EMPTY, TIMEOUT_MS, r -> {});
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/Keys.java
@@ -0,0 +1,50 @@
+package org.ploverspindle.state;
+
+import java.util.Locale;
+
+/**
+ * Names of this program's keys. The prefix carries the format's version, and leaves room for a
+ * site's name in between once one state service serves several.
+ */
+public final class Keys {
+  public static final String PREFIX = "ps1/";
+  public static final String LEADER = PREFIX + "leader";
+  public static final String TOKEN = PREFIX + "token";
+  public static final String TYPES = PREFIX + "types";
+  public static final String SPECS = PREFIX + "j/";
+  public static final String CANCELS = PREFIX + "c/";
+  public static final String DONES = PREFIX + "d/";
+  public static final String PROGRESS = PREFIX + "p/";
+  public static final String CLAIMS = PREFIX + "r/";
+  public static final String BOUNDS = PREFIX + "g/";
+
+  private Keys() {}
+
+  public static String spec(String uid) {
+    return SPECS + uid;
+  }
+
+  public static String cancel(String uid) {
+    return CANCELS + uid;
+  }
+
+  public static String done(String uid) {
+    return DONES + uid;
+  }
+
+  public static String progressOf(String uid) {
+    return PROGRESS + uid + "/";
+  }
+
+  public static String progress(String uid, int chunk) {
+    return progressOf(uid) + String.format(Locale.ROOT, "%05d", chunk);
+  }
+
+  public static String claim(String name) {
+    return CLAIMS + name;
+  }
+
+  public static String bounds(String flavour) {
+    return BOUNDS + flavour;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/ProgressRecord.java
@@ -0,0 +1,113 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ploverspindle.net.Cbor;
+
+/**
+ * What is recorded of a run of a job's tasks: which are done, and where each other one was last
+ * placed. Packed as text, ranges for the done ones, since a value may hold only a few kilobytes.
+ */
+public record ProgressRecord(BitSet done, List<Live> live, int running) {
+
+  /** A machine with what a new leader must know of it before it reports or is listed. */
+  public record Host(String id, String type, String zone, boolean spot) {}
+
+  /** A task's placement: recorded before its launch is ordered. */
+  public record Live(int task, long attempt, Host host, long tenure) {}
+
+  /** A placement takes at most about this many bytes, with a machine of its own. */
+  private static final int LIVE_BYTES = 100;
+
+  /** How many tasks one record may hold so that it always fits in a value. */
+  public static int chunkFor(int valueBytes) {
+    return Math.max(8, (valueBytes - 200) / LIVE_BYTES);
+  }
+
+  public JsonNode encode() {
+    StringBuilder ranges = new StringBuilder();
+    for (int from = done.nextSetBit(0); from >= 0; ) {
+      int to = done.nextClearBit(from) - 1;
+      ranges.append(ranges.isEmpty() ? "" : ",").append(from);
+      if (to > from) {
+        ranges.append('-').append(to);
+      }
+      from = done.nextSetBit(to + 1);
+    }
+    Map<Host, Integer> hosts = new LinkedHashMap<>();
+    StringBuilder places = new StringBuilder();
+    for (Live l : live) {
+      int host = hosts.computeIfAbsent(l.host(), h -> hosts.size());
+      places
+          .append(places.isEmpty() ? "" : ",")
+          .append(l.task())
+          .append(':')
+          .append(Long.toString(l.attempt(), 36))
+          .append(':')
+          .append(host)
+          .append(':')
+          .append(l.tenure());
+    }
+    ObjectNode v = Cbor.map();
+    v.put("n", done.cardinality());
+    v.put("r", running);
+    v.put("done", ranges.toString());
+    v.put("live", places.toString());
+    ArrayNode names = v.putArray("hosts");
+    for (Host h : hosts.keySet()) {
+      names.add(h.id() + "," + h.type() + "," + h.zone() + "," + (h.spot() ? "spot" : "ordinary"));
+    }
+    return v;
+  }
+
+  /** Empty when the record can't be read. */
+  public static Optional<ProgressRecord> decode(JsonNode v) {
+    if (!v.path("done").isTextual() || !v.path("live").isTextual()) {
+      return Optional.empty();
+    }
+    try {
+      BitSet done = new BitSet();
+      for (String range : parts(v.path("done").asText())) {
+        int dash = range.indexOf('-');
+        int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
+        int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
+        done.set(from, to + 1);
+      }
+      List<Host> hosts = new ArrayList<>();
+      for (JsonNode h : v.path("hosts")) {
+        String[] f = h.asText().split(",", -1);
+        if (f.length != 4) {
+          return Optional.empty();
+        }
+        hosts.add(new Host(f[0], f[1], f[2], f[3].equals("spot")));
+      }
+      List<Live> live = new ArrayList<>();
+      for (String place : parts(v.path("live").asText())) {
+        String[] f = place.split(":", -1);
+        if (f.length != 4) {
+          return Optional.empty();
+        }
+        live.add(
+            new Live(
+                Integer.parseInt(f[0]),
+                Long.parseLong(f[1], 36),
+                hosts.get(Integer.parseInt(f[2])),
+                Long.parseLong(f[3])));
+      }
+      return Optional.of(new ProgressRecord(done, live, v.path("r").asInt()));
+    } catch (NumberFormatException | IndexOutOfBoundsException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static String[] parts(String text) {
+    return text.isEmpty() ? new String[0] : text.split(",", -1);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -0,0 +1,251 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.state.StateStore.Changed;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.StateStore.News;
+import org.ploverspindle.state.StateStore.PageResult;
+
+/**
+ * This node's copy of the state service, brought up to date by short reads of what changed.
+ *
+ * <p>Every such read is also the barrier that answers need: it was sent after the questions that
+ * wait for it had come, so what it returns holds everything that any node can have been told before
+ * then. One read serves all questions that wait.
+ */
+public final class Replica {
+  /** Told of every change of a key; the entry is empty when the key is gone. */
+  public interface Listener {
+    void changed(String key, Optional<Entry> entry);
+  }
+
+  private static final int PAGE = 500;
+  private static final long SPACING_MS = 90;
+
+  private final Scheduler scheduler;
+  private final StateStore store;
+  private final String prefix;
+  private final long idlePeriodMs;
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final List<Listener> listeners = new ArrayList<>();
+  private List<Consumer<Boolean>> waiting = new ArrayList<>();
+  private boolean loaded;
+  private boolean busy;
+  private boolean readPlanned;
+  private long ledger;
+  private long lastSentMs = Long.MIN_VALUE / 2;
+  private long freshAsOfMs = Long.MIN_VALUE / 2;
+  private int failures;
+
+  public Replica(Scheduler scheduler, StateStore store, String prefix, long idlePeriodMs) {
+    this.scheduler = scheduler;
+    this.store = store;
+    this.prefix = prefix;
+    this.idlePeriodMs = idlePeriodMs;
+  }
+
+  public void listen(Listener listener) {
+    listeners.add(listener);
+  }
+
+  public Cancellable start() {
+    reload();
+    return scheduler.every(idlePeriodMs, this::readIfIdle);
+  }
+
+  private void readIfIdle() {
+    if (scheduler.nowMs() - lastSentMs >= idlePeriodMs) {
+      read();
+    }
+  }
+
+  public boolean loaded() {
+    return loaded;
+  }
+
+  /** When the last answered read was sent: the copy holds all that was true then. */
+  public long freshAsOfMs() {
+    return freshAsOfMs;
+  }
+
+  public Optional<Entry> get(String key) {
+    return Optional.ofNullable(entries.get(key));
+  }
+
+  public SortedMap<String, Entry> under(String keyPrefix) {
+    return entries.subMap(keyPrefix, keyPrefix + Character.MAX_VALUE);
+  }
+
+  /**
+   * Calls {@code then} once the copy has reached a state read after this call, or with false when
+   * it could not be read.
+   */
+  public void barrier(Consumer<Boolean> then) {
+    waiting.add(then);
+    planRead();
+  }
+
+  private void planRead() {
+    if (busy || readPlanned) {
+      return;
+    }
+    // Wider apart while reads fail: polls must not use up the requests that leadership needs.
+    long wait = lastSentMs + Math.min(600, SPACING_MS * (1 + failures)) - scheduler.nowMs();
+    if (wait <= 0) {
+      read();
+    } else {
+      readPlanned = true;
+      scheduler.schedule(
+          wait,
+          () -> {
+            readPlanned = false;
+            read();
+          });
+    }
+  }
+
+  private void read() {
+    if (busy) {
+      return;
+    }
+    if (!loaded) {
+      reload();
+      return;
+    }
+    busy = true;
+    lastSentMs = scheduler.nowMs();
+    long sentMs = lastSentMs;
+    List<Consumer<Boolean>> served = waiting;
+    waiting = new ArrayList<>();
+    store.changesAfter(prefix, ledger, news -> received(news, sentMs, served));
+  }
+
+  private void received(News news, long sentMs, List<Consumer<Boolean>> served) {
+    busy = false;
+    if (news instanceof News.Changes changes) {
+      failures = 0;
+      for (Changed c : changes.changes()) {
+        apply(c);
+      }
+      ledger = Math.max(ledger, changes.ledger());
+      freshAsOfMs = Math.max(freshAsOfMs, sentMs);
+      served.forEach(w -> w.accept(true));
+    } else if (news instanceof News.TooOld) {
+      loaded = false;
+      waiting.addAll(served);
+      reload();
+    } else {
+      failures++;
+      served.forEach(w -> w.accept(false));
+    }
+    if (!waiting.isEmpty()) {
+      planRead();
+    }
+  }
+
+  private void apply(Changed c) {
+    Entry known = entries.get(c.key());
+    if (known != null && known.stamp() >= c.stamp()) {
+      return;
+    }
+    if (c.value().isPresent()) {
+      Entry entry = new Entry(c.key(), c.value().get(), c.stamp());
+      entries.put(c.key(), entry);
+      notifyAll(c.key(), Optional.of(entry));
+    } else if (known != null) {
+      entries.remove(c.key());
+      notifyAll(c.key(), Optional.empty());
+    }
+  }
+
+  private void notifyAll(String key, Optional<Entry> entry) {
+    for (Listener l : listeners) {
+      l.changed(key, entry);
+    }
+  }
+
+  private void reload() {
+    if (busy) {
+      return;
+    }
+    busy = true;
+    lastSentMs = scheduler.nowMs();
+    long sentMs = lastSentMs;
+    loadPage("", -1, new HashSet<>(), sentMs);
+  }
+
+  private void loadPage(String after, long firstLedger, Set<String> seen, long sentMs) {
+    store.page(
+        prefix,
+        after,
+        PAGE,
+        result -> {
+          if (!(result instanceof PageResult.Page page)) {
+            reloadFailed();
+            return;
+          }
+          String lastKey = after;
+          for (Entry e : page.entries()) {
+            seen.add(e.key());
+            lastKey = e.key();
+            apply(new Changed(e.key(), Optional.of(e.value()), e.stamp()));
+          }
+          // Changes made while pages are read are read again from the first page's revision on.
+          long base = firstLedger < 0 ? page.ledger() : firstLedger;
+          if (page.hasNext() && !page.entries().isEmpty()) {
+            loadPage(lastKey, base, seen, sentMs);
+          } else {
+            loadedAll(base, seen, sentMs);
+          }
+        });
+  }
+
+  private void reloadFailed() {
+    busy = false;
+    failures++;
+    List<Consumer<Boolean>> served = waiting;
+    waiting = new ArrayList<>();
+    served.forEach(w -> w.accept(false));
+    // Backs off: a service that just came back must not be met by all nodes' reloads at once.
+    scheduler.schedule(
+        Math.min(2_000, 200L * failures),
+        () -> {
+          if (!loaded) {
+            reload();
+          }
+        });
+  }
+
+  private void loadedAll(long base, Set<String> seen, long sentMs) {
+    for (String gone : entries.keySet().stream().filter(k -> !seen.contains(k)).toList()) {
+      entries.remove(gone);
+      notifyAll(gone, Optional.empty());
+    }
+    ledger = base;
+    busy = false;
+    loaded = true;
+    failures = 0;
+    freshAsOfMs = Math.max(freshAsOfMs, sentMs);
+    // Everybody waiting asked before this load ended, not before it began: read once more.
+    planRead();
+  }
+
+  /** The value of a key, when it is a text. */
+  public Optional<String> text(String key, String field) {
+    return get(key)
+        .map(Entry::value)
+        .map(v -> v.path(field))
+        .filter(JsonNode::isTextual)
+        .map(JsonNode::asText);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/SpecRecord.java
@@ -0,0 +1,90 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.net.Cbor;
+
+/**
+ * A job as it is stored: what was asked, when it came by the accepting node's time of day, and how
+ * many tasks one progress record holds (fixed for good, as the settings may change).
+ */
+public record SpecRecord(JobSpec spec, long acceptedWallMs, int chunk) {
+
+  public JsonNode encode() {
+    ObjectNode v = Cbor.map();
+    v.put("class", spec.jobClass());
+    v.put("team", spec.team());
+    v.put("shape", spec.shape().name().toLowerCase(Locale.ROOT));
+    v.put("urgency", spec.urgency().name().toLowerCase(Locale.ROOT));
+    v.put("tasks", spec.tasks());
+    v.put("cores", spec.cores());
+    v.put("accel", spec.accelerators());
+    v.put("mem", spec.memoryGb());
+    spec.types().ifPresent(types -> types.forEach(v.putArray("types")::add));
+    spec.zone().ifPresent(z -> v.put("zone", z));
+    v.put("one_zone", spec.oneZone());
+    v.put("apart", spec.apart());
+    v.put("spot", spec.spot());
+    v.put("image", spec.image());
+    v.put("image_gb", spec.imageGb());
+    v.put("expected", spec.expectedS());
+    v.put("save_every", spec.saveEveryS());
+    v.put("save_cost", spec.saveCostS());
+    spec.dueS().ifPresent(d -> v.put("due", d));
+    v.put("at", acceptedWallMs);
+    v.put("chunk", chunk);
+    return v;
+  }
+
+  /** Empty when the record can't be read. */
+  public static Optional<SpecRecord> decode(String uid, JsonNode v) {
+    try {
+      int tasks = v.path("tasks").asInt(0);
+      int chunk = v.path("chunk").asInt(0);
+      if (tasks < 1 || chunk < 1 || !v.path("cores").isNumber() || !v.path("team").isTextual()) {
+        return Optional.empty();
+      }
+      Optional<List<String>> types = Optional.empty();
+      if (v.path("types").isArray()) {
+        List<String> names = new ArrayList<>();
+        v.path("types").forEach(t -> names.add(t.asText()));
+        types = Optional.of(List.copyOf(names));
+      }
+      JobSpec spec =
+          new JobSpec(
+              uid,
+              v.path("class").asText(),
+              v.path("team").asText(),
+              Shape.valueOf(v.path("shape").asText().toUpperCase(Locale.ROOT)),
+              Urgency.valueOf(v.path("urgency").asText().toUpperCase(Locale.ROOT)),
+              tasks,
+              v.path("cores").asDouble(),
+              v.path("accel").asDouble(),
+              v.path("mem").asDouble(),
+              types,
+              Optional.of(v.path("zone")).filter(JsonNode::isTextual).map(JsonNode::asText),
+              v.path("one_zone").asBoolean(),
+              v.path("apart").asBoolean(),
+              v.path("spot").asBoolean(),
+              v.path("image").asText(),
+              v.path("image_gb").asDouble(),
+              v.path("expected").asDouble(),
+              v.path("save_every").asDouble(),
+              v.path("save_cost").asDouble(),
+              v.path("due").isNumber()
+                  ? OptionalDouble.of(v.path("due").asDouble())
+                  : OptionalDouble.empty());
+      return Optional.of(new SpecRecord(spec, v.path("at").asLong(), chunk));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/StateStore.java
@@ -0,0 +1,78 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The state service as this program sees it; answers arrive on the decision loop. */
+public interface StateStore {
+
+  record Entry(String key, JsonNode value, long stamp) {}
+
+  /** A key's version that must hold; 0: the key does not exist. */
+  record Condition(String key, long stamp) {}
+
+  sealed interface Change {
+    String key();
+
+    record Put(String key, JsonNode value, Optional<Long> hold) implements Change {
+      public Put(String key, JsonNode value) {
+        this(key, value, Optional.empty());
+      }
+    }
+
+    record Remove(String key) implements Change {}
+  }
+
+  record Txn(List<Condition> conditions, List<Change> changes) {}
+
+  sealed interface TxnResult {
+    record Committed(long ledger) implements TxnResult {}
+
+    record Conflict(List<String> keys) implements TxnResult {}
+
+    record NoSuchHold() implements TxnResult {}
+
+    /** Certainly not executed: over a limit, or refused. */
+    record Refused(int status) implements TxnResult {}
+
+    /** May have been executed, or may yet be: only reading back tells. */
+    record Unknown() implements TxnResult {}
+  }
+
+  sealed interface PageResult {
+    record Page(List<Entry> entries, boolean hasNext, long ledger) implements PageResult {}
+
+    record Failed() implements PageResult {}
+  }
+
+  sealed interface News {
+    /** All changes after the revision asked for. An empty value is a removal. */
+    record Changes(long ledger, List<Changed> changes) implements News {}
+
+    record TooOld() implements News {}
+
+    record Failed() implements News {}
+  }
+
+  record Changed(String key, Optional<JsonNode> value, long stamp) {}
+
+  enum Renewal {
+    RENEWED,
+    GONE,
+    FAILED
+  }
+
+  void txn(Txn txn, Consumer<TxnResult> then);
+
+  void page(String prefix, String after, int size, Consumer<PageResult> then);
+
+  void changesAfter(String prefix, long ledger, Consumer<News> then);
+
+  void openHold(long ttlMs, Consumer<Optional<Long>> then);
+
+  void renewHold(long hold, Consumer<Renewal> then);
+
+  void closeHold(long hold);
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/Fleet.java
@@ -0,0 +1,144 @@
+package org.ploverspindle.workers;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.leadership.Timing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines of a term and what is placed on them; alone removes a placement that is proven gone.
+ */
+public final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+  private final Catalogue catalogue;
+  private final TeamUsage teams;
+  private final Timing timing;
+  private final Term term;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Set<String> released = new HashSet<>();
+
+  public Fleet(Catalogue catalogue, TeamUsage teams, Timing timing, Term term) {
+    this.catalogue = catalogue;
+    this.teams = teams;
+    this.timing = timing;
+    this.term = term;
+  }
+
+  public Optional<Machine> get(String host) {
+    return Optional.ofNullable(machines.get(host));
+  }
+
+  public Collection<Machine> all() {
+    return machines.values();
+  }
+
+  /** True for machines whose release was answered: whatever still speaks of them is old. */
+  public boolean wasReleased(String host) {
+    return released.contains(host);
+  }
+
+  /** Adds a machine that a rental, a list or a report names; empty if its type is unknown. */
+  public Optional<Machine> adopt(String host, String type, String zone, boolean spot, long nowMs) {
+    Machine known = machines.get(host);
+    if (known != null) {
+      return Optional.of(known);
+    }
+    Optional<Integer> t = catalogue.typeIndex(type);
+    Optional<Integer> z = catalogue.zoneIndex(zone);
+    if (t.isEmpty()
+        || z.isEmpty()
+        || released.contains(host)
+        || host.indexOf(':') >= 0
+        || host.indexOf(',') >= 0) {
+      return Optional.empty();
+    }
+    Machine m = new Machine(host, t.get(), z.get(), spot, catalogue.type(t.get()).size(), nowMs);
+    machines.put(host, m);
+    return Optional.of(m);
+  }
+
+  public void place(Placement p) {
+    p.machine().add(p);
+    p.job().place(p);
+    teams.add(p.job().team(), p.job().perTask());
+  }
+
+  /** The one way for a placement to end: only with proof that the task is not on the machine. */
+  public void gone(Placement p, long nowMs) {
+    p.machine().remove(p, nowMs);
+    p.job().unplace(p);
+    teams.remove(p.job().team(), p.job().perTask());
+  }
+
+  void orphan(Machine m, Machine.Orphan o) {
+    m.addOrphan(o);
+    if (!o.exited() && o.team() >= 0) {
+      teams.add(o.team(), o.takes());
+    }
+  }
+
+  void clearOrphans(Machine m) {
+    for (Machine.Orphan o : m.orphans()) {
+      if (!o.exited() && o.team() >= 0) {
+        teams.remove(o.team(), o.takes());
+      }
+    }
+    m.clearOrphans();
+  }
+
+  /** All that is on the machine is proven gone. */
+  public List<Placement> allGone(Machine m, long nowMs) {
+    List<Placement> lost = List.copyOf(m.placements());
+    lost.forEach(p -> gone(p, nowMs));
+    clearOrphans(m);
+    m.forgetImages();
+    return lost;
+  }
+
+  /** A release was answered: the machine and all on it are gone. */
+  public List<Placement> released(Machine m, long nowMs) {
+    List<Placement> lost = allGone(m, nowMs);
+    machines.remove(m.host());
+    released.add(m.host());
+    return lost;
+  }
+
+  /** The machine is not listed any more and its lease is over. */
+  public void drop(Machine m) {
+    machines.remove(m.host());
+  }
+
+  /**
+   * When the worker's lease has certainly run out if it is not heard again. Until the worker has
+   * shown our token, an earlier leader that can't reach the state service may still be answering
+   * it: the lease is counted from the last moment at which that can happen.
+   */
+  public long leaseOverMs(Machine m) {
+    long ours = (m.up() ? m.lastReportMs() : m.knownSinceMs()) + timing.leaseMs();
+    return m.confirmed() ? ours : Math.max(ours, term.startMs() + timing.takeoverSilenceMs());
+  }
+
+  /** Ends the placements of machines that were silent for longer than their lease. */
+  public List<Placement> expire(long nowMs) {
+    List<Placement> lost = new ArrayList<>();
+    for (Machine m : machines.values()) {
+      if (!(m.placements().isEmpty() && m.orphans().isEmpty()) && nowMs > leaseOverMs(m)) {
+        LOG.info(
+            "machine {} was silent for its lease: {} tasks gone", m.host(), m.placements().size());
+        lost.addAll(allGone(m, nowMs));
+      }
+    }
+    return lost;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -0,0 +1,251 @@
+package org.ploverspindle.workers;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ploverspindle.jobs.Resources;
+
+/** A machine as the leader sees it during its term. */
+public final class Machine {
+  /** An attempt that a report showed and that nobody has recorded there. */
+  record Orphan(String uid, int task, long attempt, int team, Resources takes, boolean exited) {}
+
+  private final String host;
+  private final int type;
+  private final int zone;
+  private final boolean spot;
+  private final Resources size;
+  private final long knownSinceMs;
+  private final Map<Long, Placement> placements = new HashMap<>();
+  private final List<Orphan> orphans = new ArrayList<>();
+  private final LinkedHashSet<String> images = new LinkedHashSet<>();
+  private final Set<String> failedJobs = new HashSet<>();
+  private Resources used = Resources.NONE;
+  private String address = "";
+  private long tenure;
+  private long tally;
+  private long lastReportMs = -1;
+  private boolean confirmed;
+  private long emptySinceMs;
+  private long recalledAtMs = -1;
+  private double recallS;
+  private boolean draining;
+  private boolean releasing;
+  private int failuresInRow;
+  private long shunnedUntilMs = Long.MIN_VALUE / 2;
+  private boolean listed;
+
+  public Machine(String host, int type, int zone, boolean spot, Resources size, long nowMs) {
+    this.host = host;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.size = size;
+    this.knownSinceMs = nowMs;
+    this.emptySinceMs = nowMs;
+  }
+
+  public String host() {
+    return host;
+  }
+
+  public int type() {
+    return type;
+  }
+
+  public int zone() {
+    return zone;
+  }
+
+  public boolean spot() {
+    return spot;
+  }
+
+  public Resources size() {
+    return size;
+  }
+
+  public Resources free() {
+    return size.minus(used);
+  }
+
+  public long knownSinceMs() {
+    return knownSinceMs;
+  }
+
+  public String address() {
+    return address;
+  }
+
+  void address(String newAddress) {
+    address = newAddress;
+  }
+
+  public long tenure() {
+    return tenure;
+  }
+
+  public long tally() {
+    return tally;
+  }
+
+  /** False until the machine has reported in this term. */
+  public boolean up() {
+    return lastReportMs >= 0;
+  }
+
+  public long lastReportMs() {
+    return lastReportMs;
+  }
+
+  /** The worker has accepted this term's token: from now on it drops older leaders' answers. */
+  public boolean confirmed() {
+    return confirmed;
+  }
+
+  void heard(Report report, long nowMs, boolean underOurToken) {
+    tenure = report.tenure();
+    tally = report.tally();
+    lastReportMs = nowMs;
+    confirmed |= underOurToken;
+    if (!report.address().isEmpty()) {
+      address = report.address();
+    }
+    if (report.recallS().isPresent()) {
+      if (recalledAtMs < 0) {
+        recalledAtMs = nowMs;
+      }
+      recallS = report.recallS().getAsDouble();
+    }
+  }
+
+  public boolean recalled() {
+    return recalledAtMs >= 0;
+  }
+
+  public double recallS() {
+    return recallS;
+  }
+
+  public Collection<Placement> placements() {
+    return placements.values();
+  }
+
+  public Placement placement(long attempt) {
+    return placements.get(attempt);
+  }
+
+  public void add(Placement p) {
+    placements.put(p.attempt(), p);
+    used = used.plus(p.job().perTask());
+    if (!p.job().spec().image().isEmpty()) {
+      images.remove(p.job().spec().image());
+      images.add(p.job().spec().image());
+    }
+  }
+
+  public void remove(Placement p, long nowMs) {
+    if (placements.remove(p.attempt()) != null) {
+      used = used.minus(p.job().perTask());
+      if (placements.isEmpty()) {
+        emptySinceMs = nowMs;
+      }
+    }
+  }
+
+  List<Orphan> orphans() {
+    return orphans;
+  }
+
+  void clearOrphans() {
+    for (Orphan o : orphans) {
+      if (!o.exited()) {
+        used = used.minus(o.takes());
+      }
+    }
+    orphans.clear();
+  }
+
+  void addOrphan(Orphan o) {
+    orphans.add(o);
+    if (!o.exited()) {
+      used = used.plus(o.takes());
+    }
+  }
+
+  public boolean hasImage(String image) {
+    return images.contains(image);
+  }
+
+  void forgetImages() {
+    images.clear();
+  }
+
+  public boolean empty() {
+    return placements.isEmpty() && orphans.stream().allMatch(Orphan::exited);
+  }
+
+  public long emptySinceMs() {
+    return emptySinceMs;
+  }
+
+  public boolean draining() {
+    return draining;
+  }
+
+  public void drain() {
+    draining = true;
+  }
+
+  public boolean releasing() {
+    return releasing;
+  }
+
+  public void releasing(boolean now) {
+    releasing = now;
+  }
+
+  public boolean listed() {
+    return listed;
+  }
+
+  public void listed(boolean now) {
+    listed = now;
+  }
+
+  /** Shunned for a while, longer each time in a row; a try after that brings new evidence. */
+  void taskFailed(String uid, long nowMs) {
+    failuresInRow++;
+    failedJobs.add(uid);
+    shunnedUntilMs = nowMs + 10_000L * Math.min(8, failuresInRow);
+  }
+
+  void taskCompleted() {
+    failuresInRow = 0;
+    failedJobs.clear();
+    shunnedUntilMs = Long.MIN_VALUE / 2;
+  }
+
+  public int failuresInRow() {
+    return failuresInRow;
+  }
+
+  public int failedJobs() {
+    return failedJobs.size();
+  }
+
+  /** May new tasks be put here? */
+  public boolean usable(long nowMs, long silenceMs) {
+    return confirmed
+        && !draining
+        && !releasing
+        && recalledAtMs < 0
+        && nowMs >= shunnedUntilMs
+        && nowMs - lastReportMs <= silenceMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/Placement.java
@@ -0,0 +1,119 @@
+package org.ploverspindle.workers;
+
+import org.ploverspindle.jobs.Job;
+
+/**
+ * A task's place on a machine, from the intent until it is proven gone. While it exists the task
+ * may start nowhere else, and it counts for limits, room and zones.
+ */
+public final class Placement {
+  public enum Phase {
+    /** Being recorded; no order may go out yet. */
+    INTENT,
+    /** Recorded; the launch was in no answer yet, so the task is certainly not there. */
+    READY,
+    /** The launch was in an answer that may have arrived. */
+    SENT,
+    /** Found in the records of an earlier leader: presumed there until a report says. */
+    RECORDED,
+    FETCHING,
+    RUNNING,
+    SAVING
+  }
+
+  private final Job job;
+  private final int task;
+  private final long attempt;
+  private final Machine machine;
+  private final long tenure;
+  private Phase phase;
+  private long sentTally;
+  private long runningSinceMs = -1;
+  private boolean stopping;
+  private double windDownS;
+
+  public Placement(Job job, int task, long attempt, Machine machine, long tenure, Phase phase) {
+    this.job = job;
+    this.task = task;
+    this.attempt = attempt;
+    this.machine = machine;
+    this.tenure = tenure;
+    this.phase = phase;
+  }
+
+  public Job job() {
+    return job;
+  }
+
+  public int task() {
+    return task;
+  }
+
+  public long attempt() {
+    return attempt;
+  }
+
+  public Machine machine() {
+    return machine;
+  }
+
+  public long tenure() {
+    return tenure;
+  }
+
+  public Phase phase() {
+    return phase;
+  }
+
+  void phase(Phase next, long nowMs) {
+    if (next == Phase.RUNNING && runningSinceMs < 0) {
+      runningSinceMs = nowMs;
+    }
+    phase = next;
+  }
+
+  /** The intent is durable. */
+  public void recorded() {
+    if (phase == Phase.INTENT) {
+      phase = Phase.READY;
+    }
+  }
+
+  /** True as long as no launch can have reached the machine. */
+  public boolean neverSent() {
+    return phase == Phase.INTENT || phase == Phase.READY;
+  }
+
+  void sent(long tally) {
+    phase = Phase.SENT;
+    sentTally = tally;
+  }
+
+  /** The answer that held the launch did not arrive: the next one holds it again. */
+  void lost() {
+    phase = Phase.READY;
+  }
+
+  long sentTally() {
+    return sentTally;
+  }
+
+  /** When it was first seen running, or -1. */
+  public long runningSinceMs() {
+    return runningSinceMs;
+  }
+
+  public boolean stopping() {
+    return stopping;
+  }
+
+  public double windDownS() {
+    return windDownS;
+  }
+
+  /** Asks for a stop; a second one may only shorten the time to save. */
+  public void stop(double newWindDownS) {
+    windDownS = stopping ? Math.min(windDownS, newWindDownS) : newWindDownS;
+    stopping = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/Report.java
@@ -0,0 +1,43 @@
+package org.ploverspindle.workers;
+
+import java.util.List;
+import java.util.OptionalDouble;
+
+/** A worker's report: everything on its machine at one moment. */
+public record Report(
+    String host,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long tenure,
+    long tally,
+    long warrant,
+    OptionalDouble recallS,
+    List<Item> items) {
+
+  public enum Phase {
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  public enum Cause {
+    NONE,
+    DONE,
+    STOPPED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    NO_SUCH
+  }
+
+  /** An attempt of a task on the machine. */
+  public record Item(String uid, int task, long attempt, Phase phase, Cause cause, boolean saved) {}
+
+  /** Larger is newer, over all sessions. */
+  public boolean newerThan(long otherTenure, long otherTally) {
+    return tenure != otherTenure ? tenure > otherTenure : tally > otherTally;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/ReportCodec.java
@@ -0,0 +1,137 @@
+package org.ploverspindle.workers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.ploverspindle.net.Cbor;
+
+/** The wire form of reports and orders. */
+public final class ReportCodec {
+  /** Orders of one answer, well within 64 KiB in JSON form; the rest goes with later answers. */
+  public static final int MAX_ORDER_BYTES = 48 * 1024;
+
+  private ReportCodec() {}
+
+  /** Empty when malformed. */
+  public static Optional<Report> decode(byte[] body) {
+    return Cbor.readMap(body).flatMap(ReportCodec::decode);
+  }
+
+  private static Optional<Report> decode(ObjectNode b) {
+    if (!text(b, "host")
+        || !text(b, "flavour")
+        || !text(b, "site")
+        || !count(b, "tenure")
+        || !count(b, "tally")
+        || !count(b, "warrant")
+        || !list(b)) {
+      return Optional.empty();
+    }
+    List<Report.Item> items = new ArrayList<>(b.path("pieces").size());
+    for (JsonNode p : b.path("pieces")) {
+      Optional<Report.Item> item = item(p);
+      if (item.isEmpty()) {
+        return Optional.empty();
+      }
+      items.add(item.get());
+    }
+    JsonNode recall = b.path("recall_s");
+    return Optional.of(
+        new Report(
+            b.path("host").asText(),
+            b.path("addr").asText(""),
+            b.path("flavour").asText(),
+            b.path("site").asText(),
+            b.path("loaners").asBoolean(),
+            b.path("tenure").asLong(),
+            b.path("tally").asLong(),
+            b.path("warrant").asLong(),
+            recall.isNumber() ? OptionalDouble.of(recall.asDouble()) : OptionalDouble.empty(),
+            items));
+  }
+
+  private static boolean list(ObjectNode b) {
+    JsonNode pieces = b.path("pieces");
+    return pieces.isArray() || pieces.isNull() || pieces.isMissingNode();
+  }
+
+  private static boolean text(JsonNode in, String field) {
+    return in.path(field).isTextual() && !in.path(field).asText().isEmpty();
+  }
+
+  private static boolean count(JsonNode in, String field) {
+    JsonNode n = in.path(field);
+    return n.isIntegralNumber() && n.canConvertToLong() && n.asLong() >= 0;
+  }
+
+  private static Optional<Report.Item> item(JsonNode p) {
+    String name = p.path("piece").asText("");
+    int slash = name.lastIndexOf('/');
+    if (slash <= 0 || !count(p, "try")) {
+      return Optional.empty();
+    }
+    int task;
+    try {
+      task = Integer.parseInt(name.substring(slash + 1));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+    Report.Phase phase;
+    switch (p.path("status").asText("")) {
+      case "fetching" -> phase = Report.Phase.FETCHING;
+      case "running" -> phase = Report.Phase.RUNNING;
+      case "saving" -> phase = Report.Phase.SAVING;
+      case "exited" -> phase = Report.Phase.EXITED;
+      default -> {
+        return Optional.empty();
+      }
+    }
+    Report.Cause cause =
+        switch (p.path("cause").asText("")) {
+          case "done" -> Report.Cause.DONE;
+          case "stopped" -> Report.Cause.STOPPED;
+          case "error" -> Report.Cause.ERROR;
+          case "no_room" -> Report.Cause.NO_ROOM;
+          case "busy" -> Report.Cause.BUSY;
+          case "no_such" -> Report.Cause.NO_SUCH;
+          default -> Report.Cause.NONE;
+        };
+    return Optional.of(
+        new Report.Item(
+            name.substring(0, slash),
+            task,
+            p.path("try").asLong(),
+            phase,
+            cause,
+            p.path("stored").asBoolean(false)));
+  }
+
+  /** The answer to a report: as many orders, in their order, as the limit on bodies allows. */
+  public static byte[] encodeAnswer(long token, List<Order> orders) {
+    ObjectNode body = Cbor.map().put("warrant", token);
+    ArrayNode list = body.putArray("orders");
+    for (Order order : orders) {
+      ObjectNode o = list.addObject();
+      o.put(
+          "verb",
+          order instanceof Order.Launch
+              ? "launch"
+              : order instanceof Order.Stop ? "stop" : "forget");
+      o.put("piece", order.uid() + "/" + order.task());
+      o.put("try", order.attempt());
+      if (order instanceof Order.Stop stop) {
+        o.put("wind_down_s", stop.windDownS());
+      }
+    }
+    return Cbor.write(body);
+  }
+
+  /** About what an order takes in JSON form. */
+  public static int size(Order order) {
+    return order.uid().length() + 90;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -0,0 +1,263 @@
+package org.ploverspindle.workers;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.leadership.Term;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes in reports and says what the worker is to do: the only place that lets a launch go out. */
+public final class ReportDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
+
+  /** What a report shows, for the other slices. */
+  public interface Listener {
+    /** The task completed there. */
+    void completed(Placement p, long nowMs);
+
+    /** The task ended there without completing, or never arrived; it is gone from its machine. */
+    void ended(Placement p, Report.Cause cause, boolean saved, long nowMs);
+
+    /** A task that nobody had placed there has completed: its result counts all the same. */
+    void completedUnplaced(Job job, int task);
+
+    /** Its place is as recorded, but what is shown of it has changed. */
+    void moved(Placement p);
+  }
+
+  /** What is known of a job that is not in the table: whose it is and what a task takes. */
+  public record Owner(int team, Resources takes) {}
+
+  private final Fleet fleet;
+  private final Term term;
+  private final Supplier<Boolean> mayLaunch;
+  private final Function<String, Optional<Job>> jobs;
+  private final Function<String, Optional<Owner>> owners;
+  private final BiPredicate<Job, Integer> durablyDone;
+  private final Listener listener;
+
+  public ReportDesk(
+      Fleet fleet,
+      Term term,
+      Supplier<Boolean> mayLaunch,
+      Function<String, Optional<Job>> jobs,
+      Function<String, Optional<Owner>> owners,
+      BiPredicate<Job, Integer> durablyDone,
+      Listener listener) {
+    this.fleet = fleet;
+    this.term = term;
+    this.mayLaunch = mayLaunch;
+    this.jobs = jobs;
+    this.owners = owners;
+    this.durablyDone = durablyDone;
+    this.listener = listener;
+  }
+
+  /** Orders for the worker, or none at all when the report tells nothing that can be relied on. */
+  public List<Order> take(Report report, long nowMs) {
+    if (fleet.wasReleased(report.host())) {
+      return List.of();
+    }
+    Optional<Machine> found =
+        fleet.adopt(report.host(), report.type(), report.zone(), report.spot(), nowMs);
+    if (found.isEmpty()) {
+      LOG.warn("machine {} of unknown type {} reports", report.host(), report.type());
+      return List.of();
+    }
+    Machine m = found.get();
+    // A report that was held up on the way is older than what we know: its list of tasks would
+    // call running ones gone. It is answered, as silence could cost the lease, and not believed.
+    if (m.up() && !report.newerThan(m.tenure(), m.tally())) {
+      return List.of();
+    }
+    boolean newSession = report.tenure() > m.tenure();
+    boolean ours = report.warrant() == term.token();
+    m.heard(report, nowMs, ours);
+    if (newSession) {
+      endOlderSessions(m, nowMs);
+    }
+    return new Reading(m, report, ours, nowMs).orders();
+  }
+
+  /** A new session began with nothing on the machine: what was placed in older ones is gone. */
+  private void endOlderSessions(Machine m, long nowMs) {
+    for (Placement p : List.copyOf(m.placements())) {
+      if (p.tenure() < m.tenure()) {
+        fleet.gone(p, nowMs);
+        listener.ended(p, Report.Cause.NONE, false, nowMs);
+      }
+    }
+    m.forgetImages();
+  }
+
+  private final class Reading {
+    private final Machine machine;
+    private final Report report;
+    private final boolean ours;
+    private final long nowMs;
+    private final List<Order> orders = new ArrayList<>();
+    private int bytes = 40;
+
+    Reading(Machine machine, Report report, boolean ours, long nowMs) {
+      this.machine = machine;
+      this.report = report;
+      this.ours = ours;
+      this.nowMs = nowMs;
+    }
+
+    private void order(Order o) {
+      if (bytes + ReportCodec.size(o) <= ReportCodec.MAX_ORDER_BYTES) {
+        bytes += ReportCodec.size(o);
+        orders.add(o);
+      }
+    }
+
+    List<Order> orders() {
+      fleet.clearOrphans(machine);
+      Set<Long> shown = new HashSet<>();
+      for (Report.Item item : report.items()) {
+        Placement p = machine.placement(item.attempt());
+        if (p != null && p.job().uid().equals(item.uid()) && p.task() == item.task()) {
+          shown.add(item.attempt());
+          placed(p, item);
+        } else {
+          unplaced(item);
+        }
+      }
+      for (Placement p : List.copyOf(machine.placements())) {
+        if (!shown.contains(p.attempt())) {
+          absent(p);
+        }
+      }
+      if (ours && mayLaunch.get()) {
+        launches();
+      }
+      return orders;
+    }
+
+    private void placed(Placement p, Report.Item item) {
+      switch (item.phase()) {
+        case EXITED -> exited(p, item);
+        case FETCHING -> shown(p, Placement.Phase.FETCHING);
+        case RUNNING -> shown(p, Placement.Phase.RUNNING);
+        case SAVING -> shown(p, Placement.Phase.SAVING);
+        default -> throw new IllegalStateException("a phase without a meaning");
+      }
+    }
+
+    private void shown(Placement p, Placement.Phase phase) {
+      if (p.phase() != phase) {
+        p.phase(phase, nowMs);
+        listener.moved(p);
+      }
+      if (p.job().over()) {
+        order(new Order.Stop(p.job().uid(), p.task(), p.attempt(), 0));
+      } else if (p.stopping() && (phase != Placement.Phase.SAVING || p.windDownS() == 0)) {
+        // A task that saves is told again only to make it end: repeating the order is not needed.
+        order(new Order.Stop(p.job().uid(), p.task(), p.attempt(), p.windDownS()));
+      }
+    }
+
+    private void exited(Placement p, Report.Item item) {
+      fleet.gone(p, nowMs);
+      if (item.cause() == Report.Cause.DONE) {
+        machine.taskCompleted();
+        // Forgotten only once the completion is durable: until then the worker is its only record.
+        listener.completed(p, nowMs);
+        return;
+      }
+      if (item.cause() == Report.Cause.ERROR) {
+        machine.taskFailed(item.uid(), nowMs);
+      }
+      order(new Order.Forget(item.uid(), item.task(), item.attempt()));
+      listener.ended(p, item.cause(), item.saved(), nowMs);
+    }
+
+    private void unplaced(Report.Item item) {
+      Optional<Job> job = jobs.apply(item.uid());
+      boolean over = job.isEmpty() || job.get().over();
+      if (item.phase() == Report.Phase.EXITED) {
+        boolean completed = item.cause() == Report.Cause.DONE;
+        if (!over && completed && item.task() < job.get().spec().tasks()) {
+          if (!job.get().done().get(item.task())) {
+            listener.completedUnplaced(job.get(), item.task());
+          }
+          if (!durablyDone.test(job.get(), item.task())) {
+            return;
+          }
+        }
+        order(new Order.Forget(item.uid(), item.task(), item.attempt()));
+        return;
+      }
+      Owner owner =
+          job.map(j -> new Owner(j.team(), j.perTask()))
+              .or(() -> owners.apply(item.uid()))
+              .orElse(new Owner(-1, Resources.NONE));
+      fleet.orphan(
+          machine,
+          new Machine.Orphan(
+              item.uid(), item.task(), item.attempt(), owner.team(), owner.takes(), false));
+      order(new Order.Stop(item.uid(), item.task(), item.attempt(), 0));
+    }
+
+    /**
+     * A placement that the report does not show. Proof that it is not there needs a report made
+     * after the worker took our token, as an earlier leader's answer may have come after an older
+     * one; and, for a launch of ours, made after the answer that held it.
+     */
+    private void absent(Placement p) {
+      if (p.neverSent()) {
+        if (p.job().over()) {
+          end(p);
+        }
+        return;
+      }
+      if (!ours) {
+        return;
+      }
+      if (p.phase() == Placement.Phase.SENT) {
+        if (report.tally() > p.sentTally()) {
+          // The answer was lost, and answers are never executed late: it can be sent again.
+          if (p.job().over() || p.stopping()) {
+            end(p);
+          } else {
+            p.lost();
+          }
+        }
+        return;
+      }
+      end(p);
+    }
+
+    private void end(Placement p) {
+      fleet.gone(p, nowMs);
+      listener.ended(p, Report.Cause.NONE, false, nowMs);
+    }
+
+    private void launches() {
+      for (Placement p : List.copyOf(machine.placements())) {
+        if (p.phase() != Placement.Phase.READY) {
+          continue;
+        }
+        if (p.tenure() != report.tenure() || p.job().over() || p.stopping()) {
+          end(p);
+          continue;
+        }
+        Order launch = new Order.Launch(p.job().uid(), p.task(), p.attempt());
+        if (bytes + ReportCodec.size(launch) > ReportCodec.MAX_ORDER_BYTES) {
+          return;
+        }
+        order(launch);
+        p.sent(report.tally());
+      }
+    }
+  }
+}
