--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -25,12 +25,15 @@
 import org.ploverspindle.state.StateStore.Entry;
 import org.ploverspindle.state.StateStore.TxnResult;
 import org.ploverspindle.state.TokenBucket;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Users' requests, on any node: nothing is said before it is durable, and nothing from the copy
  * before the copy is as new as the question.
  */
 public final class Intake {
+  private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
   private static final long BARRIER_LIMIT_MS = 1_400;
   private static final long CREATE_LIMIT_MS = 2_500;
 
@@ -157,6 +160,7 @@
     try {
       spec = SubmissionCodec.decode(body.get());
     } catch (SubmissionCodec.Malformed e) {
+      LOG.info("submission {} is malformed: {}", uid.get(), e.getMessage());
       refuseUnlessKnown(
           uid.get(), Answer.error(400, "missing or invalid: " + e.getMessage()), then);
       return;
--- a/src/main/java/org/ploverspindle/front/SubmissionCodec.java
+++ b/src/main/java/org/ploverspindle/front/SubmissionCodec.java
@@ -65,7 +65,7 @@
         switch (text("shape")) {
           case "batch" -> Shape.BATCH;
           case "daemon" -> Shape.SERVICE;
-          default -> throw new Malformed("shape");
+          default -> throw new Malformed("shape: " + text("shape"));
         };
     Urgency urgency =
         switch (text("urgency")) {
@@ -73,7 +73,7 @@
           case "high" -> Urgency.HIGH;
           case "normal" -> Urgency.NORMAL;
           case "best_effort" -> Urgency.BEST_EFFORT;
-          default -> throw new Malformed("urgency");
+          default -> throw new Malformed("urgency: " + text("urgency"));
         };
     return new JobSpec(
         uid,
