--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -0,0 +1,149 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+
+/** The checker must report each rule when it is broken, and nothing when none is. */
+class CheckerTest {
+  private static final Checker.Place A = new Checker.Place("i-1", "small", "a", false);
+  private static final Checker.Place B = new Checker.Place("i-2", "small", "b", false);
+
+  private final SimClock clock = new SimClock();
+  private final Checker checker = new Checker(clock, World.settings("n0", 3, List.of("a", "b")));
+
+  private static JobSpec spec(String uid, double cores, boolean oneZone, boolean apart) {
+    return new JobSpec(
+        uid,
+        "c",
+        "red",
+        Shape.BATCH,
+        Urgency.NORMAL,
+        2,
+        cores,
+        0,
+        1,
+        Optional.empty(),
+        Optional.empty(),
+        oneZone,
+        apart,
+        false,
+        "i",
+        1,
+        5,
+        0,
+        0,
+        OptionalDouble.empty());
+  }
+
+  private void only(Checker.Rule rule) {
+    assertEquals(List.of(rule), checker.broken().stream().map(Checker.Broken::rule).toList());
+  }
+
+  @Test
+  void reportsNothingOnAnOrderlyJob() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 201, "queued", true);
+    for (int task = 0; task < 2; task++) {
+      checker.starts("run-1", task, A);
+      checker.completes("run-1", task);
+      checker.leaves("run-1", task, A);
+    }
+    checker.told("run-1", 200, "done", false);
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void reportsATaskThatRunsTwice() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.starts("run-1", 0, A);
+    checker.starts("run-1", 0, B);
+    only(Checker.Rule.RAN_TWICE);
+  }
+
+  @Test
+  void reportsAnExceededLimit() {
+    checker.submitted(spec("run-1", 20, false, false));
+    checker.starts("run-1", 0, A);
+    checker.starts("run-1", 1, A);
+    only(Checker.Rule.QUOTA);
+  }
+
+  @Test
+  void reportsWrongPlaces() {
+    checker.submitted(spec("run-1", 1, true, false));
+    checker.starts("run-1", 0, A);
+    checker.starts("run-1", 1, B);
+    only(Checker.Rule.WRONG_PLACE);
+  }
+
+  @Test
+  void reportsTasksThatAreNotApart() {
+    checker.submitted(spec("run-1", 1, false, true));
+    checker.starts("run-1", 0, A);
+    checker.starts("run-1", 1, A);
+    only(Checker.Rule.WRONG_PLACE);
+  }
+
+  @Test
+  void reportsSpotWhereItIsNotAllowed() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.starts("run-1", 0, new Checker.Place("i-3", "small", "a", true));
+    only(Checker.Rule.WRONG_PLACE);
+  }
+
+  @Test
+  void reportsACancelledJobThatRunsOn() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.starts("run-1", 0, A);
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "aborted", false);
+    clock.runUntil(20_001);
+    checker.look();
+    only(Checker.Rule.RAN_CANCELLED);
+  }
+
+  @Test
+  void reportsAForgottenJob() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 201, "queued", true);
+    checker.told("run-1", 404, "", false);
+    only(Checker.Rule.FORGOTTEN);
+  }
+
+  @Test
+  void reportsAnInventedJob() {
+    checker.told("run-9", 200, "queued", false);
+    only(Checker.Rule.INVENTED);
+  }
+
+  @Test
+  void reportsDoneTooEarly() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.completes("run-1", 0);
+    checker.told("run-1", 200, "done", false);
+    only(Checker.Rule.NOT_DONE);
+  }
+
+  @Test
+  void reportsAnOlderAnswer() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "aborted", false);
+    checker.told("run-1", 200, "running", false);
+    only(Checker.Rule.WENT_BACK);
+  }
+
+  @Test
+  void reportsACancellationNobodyAskedFor() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 200, "aborted", false);
+    only(Checker.Rule.WENT_BACK);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -0,0 +1,151 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+
+/**
+ * Random schedules of failures against the real decision code, checked by the plain model of the
+ * rules. A seed that ever failed stays here by name.
+ */
+class RulesTest {
+  private static final int NODES = 3;
+
+  static JobSpec job(String uid, Random random) {
+    boolean service = random.nextInt(8) == 0;
+    boolean saves = random.nextInt(3) == 0;
+    return new JobSpec(
+        uid,
+        "class-" + random.nextInt(2),
+        random.nextBoolean() ? "red" : "blue",
+        service ? Shape.SERVICE : Shape.BATCH,
+        Urgency.values()[random.nextInt(4)],
+        1 + random.nextInt(service ? 3 : 12),
+        1 + random.nextInt(4),
+        0,
+        1 + random.nextInt(4),
+        random.nextInt(4) == 0 ? Optional.of(List.of("large")) : Optional.empty(),
+        random.nextInt(5) == 0 ? Optional.of("a") : Optional.empty(),
+        random.nextInt(5) == 0,
+        random.nextInt(5) == 0,
+        random.nextInt(4) > 0,
+        "image-" + random.nextInt(3),
+        1,
+        service ? 0 : 1 + random.nextInt(20),
+        saves ? 3 : 0,
+        saves ? 1 : 0,
+        random.nextBoolean() ? OptionalDouble.of(40) : OptionalDouble.empty());
+  }
+
+  private static void trouble(World w) {
+    Random r = w.random;
+    int node = r.nextInt(NODES);
+    long forMs = 1_000 + r.nextInt(30_000);
+    switch (r.nextInt(11)) {
+      case 0 -> w.crash(node, 100 + r.nextInt(4_000));
+      case 1 -> {
+        for (int i = 0; i < NODES; i++) {
+          w.crash(i, 100 + r.nextInt(4_000));
+        }
+      }
+      case 2 -> {
+        w.state.outage(true);
+        w.clock.at(forMs, () -> w.state.outage(false));
+      }
+      case 3 -> {
+        w.cloud.outage(true);
+        w.clock.at(forMs, () -> w.cloud.outage(false));
+      }
+      case 4 -> cutFor(w, "n" + node, World.STATE, forMs);
+      case 5 -> w.cloud.workers().forEach(x -> cutFor(w, "n" + node, x.host(), forMs));
+      case 6 -> {
+        cutFor(w, "n" + node, World.STATE, forMs);
+        w.cloud.workers().stream()
+            .filter(x -> r.nextBoolean())
+            .forEach(x -> cutFor(w, "n" + node, x.host(), forMs));
+      }
+      case 7 -> {
+        List<SimWorker> all = w.cloud.workers();
+        if (!all.isEmpty()) {
+          SimWorker x = all.get(r.nextInt(all.size()));
+          for (int i = 0; i < NODES; i++) {
+            cutFor(w, "n" + i, x.host(), forMs);
+          }
+        }
+      }
+      case 8 -> {
+        List<SimWorker> all = w.cloud.workers();
+        if (!all.isEmpty()) {
+          w.cloud.die(all.get(r.nextInt(all.size())).host());
+        }
+      }
+      case 9 -> {
+        List<SimWorker> all = w.cloud.workers();
+        if (!all.isEmpty()) {
+          SimWorker x = all.get(r.nextInt(all.size()));
+          if (r.nextBoolean()) {
+            x.recall();
+          } else {
+            x.sick(true);
+          }
+        }
+      }
+      default -> {
+        w.network.lateShare(0.05 + r.nextDouble() * 0.2);
+        w.clock.at(forMs, () -> w.network.lateShare(0));
+      }
+    }
+  }
+
+  private static void cutFor(World w, String a, String b, long forMs) {
+    w.network.cut(a, b, true);
+    w.clock.at(forMs, () -> w.network.cut(a, b, false));
+  }
+
+  private static World play(long seed, int troubles) {
+    World w = new World(seed, NODES, 14, List.of("a", "b"));
+    Random r = new Random(seed * 31 + 7);
+    for (int i = 0; i < 40; i++) {
+      w.clock.at(
+          3_000 + r.nextInt(150_000),
+          () -> {
+            JobSpec spec = job(w.newUid(), r);
+            w.user(spec);
+            if (spec.expectedS() == 0 || r.nextInt(4) == 0) {
+              w.clock.at(2_000 + r.nextInt(40_000), () -> w.cancel(spec.uid(), 0));
+            }
+          });
+    }
+    w.clock.at(20_000, () -> w.poll("run-999999"));
+    for (int i = 0; i < troubles; i++) {
+      w.clock.at(10_000 + r.nextInt(190_000), () -> trouble(w));
+    }
+    w.clock.runUntil(420_000);
+    return w;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void rulesHoldUnderRandomTroubles(long seed) {
+    World w = play(seed, 14);
+    assertEquals(List.of(), w.checker.broken(), "seed " + seed);
+    assertTrue(w.checker.starts() > 50, "seed " + seed + ": " + w.checker.starts() + " starts");
+  }
+
+  @Test
+  void aQuietDayIsServedWhole() {
+    World w = play(77, 0);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(w.checker.jobsDone() >= 25, w.checker.jobsDone() + " jobs done");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/SimClock.java
@@ -0,0 +1,87 @@
+package org.ploverspindle.sim;
+
+import java.util.PriorityQueue;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.loop.Rank;
+import org.ploverspindle.loop.Scheduler;
+
+/** Simulated time: one queue of events for the whole world, in a fixed order. */
+final class SimClock {
+  private record Event(long atMs, long order, Runnable work) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event o) {
+      return atMs != o.atMs ? Long.compare(atMs, o.atMs) : Long.compare(order, o.order);
+    }
+  }
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private long order;
+  private long nowMs;
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void at(long delayMs, Runnable work) {
+    events.add(new Event(nowMs + Math.max(0, delayMs), order++, work));
+  }
+
+  void runUntil(long endMs) {
+    while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+      Event e = events.poll();
+      nowMs = e.atMs();
+      e.work().run();
+    }
+    nowMs = endMs;
+  }
+
+  /** One process's view: its own offset and drift, and an end after which nothing of it runs. */
+  final class Process implements Scheduler {
+    private final long offsetMs;
+    private final double speed;
+    private final long wallOffMs;
+    private boolean dead;
+
+    Process(long offsetMs, double speed, long wallOffMs) {
+      this.offsetMs = offsetMs;
+      this.speed = speed;
+      this.wallOffMs = wallOffMs;
+    }
+
+    void kill() {
+      dead = true;
+    }
+
+    boolean dead() {
+      return dead;
+    }
+
+    @Override
+    public long nowMs() {
+      return offsetMs + Math.round(nowMs * speed);
+    }
+
+    @Override
+    public long wallMs() {
+      return 1_800_000_000_000L + nowMs + wallOffMs;
+    }
+
+    @Override
+    public void execute(Rank rank, Runnable work) {
+      schedule(0, work);
+    }
+
+    @Override
+    public Cancellable schedule(long delayMs, Runnable work) {
+      boolean[] cancelled = {false};
+      at(
+          Math.round(delayMs / speed),
+          () -> {
+            if (!dead && !cancelled[0]) {
+              work.run();
+            }
+          });
+      return () -> cancelled[0] = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/SimCloud.java
@@ -0,0 +1,153 @@
+package org.ploverspindle.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Function;
+import org.ploverspindle.cloud.CloudApi.Host;
+import org.ploverspindle.cloud.CloudApi.HostPage;
+import org.ploverspindle.cloud.CloudApi.HostStatus;
+import org.ploverspindle.cloud.CloudApi.RentResult;
+import org.ploverspindle.cloud.MachineType;
+
+/**
+ * Stand-in for the cloud: claims that rent once, a lagging list, machines that boot or never do.
+ */
+final class SimCloud {
+  private static final class Rented {
+    private final String id;
+    private final String type;
+    private final String zone;
+    private final boolean spot;
+    private final long sinceMs;
+    private HostStatus status = HostStatus.BOOTING;
+    private SimWorker worker;
+
+    Rented(String id, String type, String zone, boolean spot, long sinceMs) {
+      this.id = id;
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.sinceMs = sinceMs;
+    }
+  }
+
+  private static final long LAG_MS = 3_000;
+
+  private final SimClock clock;
+  private final Random random;
+  private final List<MachineType> types;
+  private final int capacity;
+  private final Function<Checker.Place, SimWorker> boot;
+  private final Map<String, Rented> machines = new LinkedHashMap<>();
+  private final Map<String, RentResult.Rented> claims = new HashMap<>();
+  private final List<Map.Entry<Long, List<Host>>> past = new ArrayList<>();
+  private int counter;
+  private boolean out;
+
+  SimCloud(
+      SimClock clock,
+      Random random,
+      List<MachineType> types,
+      int capacity,
+      Function<Checker.Place, SimWorker> boot) {
+    this.clock = clock;
+    this.random = random;
+    this.types = types;
+    this.capacity = capacity;
+    this.boot = boot;
+    remember();
+  }
+
+  private void remember() {
+    List<Host> now = new ArrayList<>();
+    for (Rented r : machines.values()) {
+      double age = (clock.nowMs() - r.sinceMs) / 1000.0;
+      now.add(new Host(r.id, "10.9.9.9:9000", r.type, r.zone, r.spot, r.status, age));
+    }
+    past.add(Map.entry(clock.nowMs(), now));
+    if (past.size() > 40) {
+      past.remove(0);
+    }
+    clock.at(500, this::remember);
+  }
+
+  void outage(boolean now) {
+    out = now;
+  }
+
+  boolean out() {
+    return out;
+  }
+
+  List<MachineType> types() {
+    return types;
+  }
+
+  List<SimWorker> workers() {
+    return machines.values().stream().filter(r -> r.worker != null).map(r -> r.worker).toList();
+  }
+
+  RentResult rent(String claim, String type, String zone, boolean spot, int count) {
+    RentResult.Rented before = claims.get(claim);
+    if (before != null) {
+      return before;
+    }
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < count && machines.size() < capacity; i++) {
+      String id = String.format(Locale.ROOT, "i-%06d", counter++);
+      Rented r = new Rented(id, type, zone, spot, clock.nowMs());
+      machines.put(id, r);
+      ids.add(id);
+      if (random.nextInt(12) > 0) {
+        clock.at(500 + random.nextInt(9_000), () -> up(r));
+      }
+    }
+    if (ids.isEmpty()) {
+      return new RentResult.NoCapacity();
+    }
+    RentResult.Rented result = new RentResult.Rented(ids);
+    claims.put(claim, result);
+    return result;
+  }
+
+  private void up(Rented r) {
+    if (machines.get(r.id) == r) {
+      r.status = HostStatus.RUNNING;
+      r.worker = boot.apply(new Checker.Place(r.id, r.type, r.zone, r.spot));
+    }
+  }
+
+  void release(List<String> ids) {
+    for (String id : ids) {
+      Rented r = machines.remove(id);
+      if (r != null && r.worker != null) {
+        r.worker.end();
+      }
+    }
+  }
+
+  /** The machine stops by itself; the list tells it late. */
+  void die(String id) {
+    Rented r = machines.get(id);
+    if (r != null && r.worker != null) {
+      r.worker.end();
+      clock.at(10_000, () -> r.status = HostStatus.FAILED);
+    }
+  }
+
+  HostPage list(String after) {
+    long at = clock.nowMs() - LAG_MS - random.nextInt((int) LAG_MS);
+    List<Host> then = List.of();
+    for (Map.Entry<Long, List<Host>> p : past) {
+      if (p.getKey() <= at) {
+        then = p.getValue();
+      }
+    }
+    return new HostPage(then.stream().filter(h -> h.id().compareTo(after) > 0).toList(), false);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -0,0 +1,160 @@
+package org.ploverspindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Changed;
+import org.ploverspindle.state.StateStore.Condition;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.StateStore.News;
+import org.ploverspindle.state.StateStore.PageResult;
+import org.ploverspindle.state.StateStore.Renewal;
+import org.ploverspindle.state.StateStore.Txn;
+import org.ploverspindle.state.StateStore.TxnResult;
+
+/** Stand-in for the state service, by its published protocol; faults are the network's business. */
+final class SimState {
+  private record Kept(JsonNode value, long stamp, Optional<Long> hold) {}
+
+  private static final int HISTORY = 10_000;
+
+  private final SimClock clock;
+  private final TreeMap<String, Kept> keys = new TreeMap<>();
+  private final Map<Long, Long> holdEndsMs = new HashMap<>();
+  private final Map<Long, Long> holdTtlMs = new HashMap<>();
+  private final List<Changed> history = new ArrayList<>();
+  private long ledger = 1;
+  private long nextHold = 1;
+  private boolean out;
+
+  SimState(SimClock clock) {
+    this.clock = clock;
+  }
+
+  boolean out() {
+    return out;
+  }
+
+  void outage(boolean now) {
+    if (out && !now) {
+      // After an outage every hold has its full time again.
+      holdEndsMs.replaceAll((h, end) -> clock.nowMs() + holdTtlMs.get(h));
+      holdEndsMs.keySet().forEach(this::watch);
+    }
+    out = now;
+  }
+
+  long openHold(long ttlMs) {
+    long id = nextHold++;
+    holdTtlMs.put(id, ttlMs);
+    holdEndsMs.put(id, clock.nowMs() + ttlMs);
+    watch(id);
+    return id;
+  }
+
+  private void watch(long id) {
+    clock.at(
+        holdEndsMs.get(id) - clock.nowMs(),
+        () -> {
+          Long end = holdEndsMs.get(id);
+          if (end != null && !out && end <= clock.nowMs()) {
+            endHold(id);
+          }
+        });
+  }
+
+  void endHold(long id) {
+    holdEndsMs.remove(id);
+    List<String> attached =
+        keys.entrySet().stream()
+            .filter(e -> e.getValue().hold().equals(Optional.of(id)))
+            .map(Map.Entry::getKey)
+            .toList();
+    if (!attached.isEmpty()) {
+      ledger++;
+      attached.forEach(this::remove);
+    }
+  }
+
+  Renewal renew(long id) {
+    if (!holdEndsMs.containsKey(id)) {
+      return Renewal.GONE;
+    }
+    holdEndsMs.put(id, clock.nowMs() + holdTtlMs.get(id));
+    watch(id);
+    return Renewal.RENEWED;
+  }
+
+  private void remove(String key) {
+    if (keys.remove(key) != null) {
+      history.add(new Changed(key, Optional.empty(), ledger));
+    }
+  }
+
+  TxnResult txn(Txn txn) {
+    List<String> failed = new ArrayList<>();
+    for (Condition c : txn.conditions()) {
+      Kept kept = keys.get(c.key());
+      if ((kept == null ? 0 : kept.stamp()) != c.stamp()) {
+        failed.add(c.key());
+      }
+    }
+    for (Change change : txn.changes()) {
+      if (change instanceof Change.Put put
+          && put.hold().isPresent()
+          && !holdEndsMs.containsKey(put.hold().get())) {
+        return new TxnResult.NoSuchHold();
+      }
+    }
+    if (!failed.isEmpty()) {
+      return new TxnResult.Conflict(failed);
+    }
+    ledger++;
+    for (Change change : txn.changes()) {
+      if (change instanceof Change.Put put) {
+        keys.put(put.key(), new Kept(put.value().deepCopy(), ledger, put.hold()));
+        history.add(new Changed(put.key(), Optional.of(put.value().deepCopy()), ledger));
+      } else {
+        remove(change.key());
+      }
+    }
+    return new TxnResult.Committed(ledger);
+  }
+
+  PageResult page(String prefix, String after, int size) {
+    List<Entry> entries = new ArrayList<>();
+    boolean more = false;
+    for (Map.Entry<String, Kept> e : keys.tailMap(prefix, true).entrySet()) {
+      if (!e.getKey().startsWith(prefix)) {
+        break;
+      }
+      if (e.getKey().compareTo(after) <= 0) {
+        continue;
+      }
+      if (entries.size() == size) {
+        more = true;
+        break;
+      }
+      entries.add(new Entry(e.getKey(), e.getValue().value(), e.getValue().stamp()));
+    }
+    return new PageResult.Page(entries, more, ledger);
+  }
+
+  News changesAfter(String prefix, long after) {
+    if (history.size() > HISTORY && history.get(history.size() - HISTORY).stamp() > after) {
+      return new News.TooOld();
+    }
+    List<Changed> changes = new ArrayList<>();
+    for (int i = history.size() - 1; i >= 0 && history.get(i).stamp() > after; i--) {
+      if (history.get(i).key().startsWith(prefix)) {
+        changes.add(0, history.get(i));
+      }
+    }
+    return new News.Changes(ledger, changes);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -0,0 +1,294 @@
+package org.ploverspindle.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Order;
+import org.ploverspindle.workers.Report;
+
+/** Stand-in for a worker, by the protocol: sessions, leases, tokens, and one report in flight. */
+final class SimWorker {
+  /** How a worker gets a report to a node; the answer may never come. */
+  interface Line {
+    void report(SimWorker from, int node, Report report, long serial);
+  }
+
+  private static final class Run {
+    private final String uid;
+    private final int task;
+    private final long attempt;
+    private Report.Phase phase = Report.Phase.FETCHING;
+    private Report.Cause cause = Report.Cause.NONE;
+    private boolean saved;
+
+    Run(String uid, int task, long attempt) {
+      this.uid = uid;
+      this.task = task;
+      this.attempt = attempt;
+    }
+  }
+
+  private final SimClock clock;
+  private final Random random;
+  private final Settings.WorkerLimits limits;
+  private final Checker checker;
+  private final Checker.Place place;
+  private final Map<String, JobSpec> specs;
+  private final Line line;
+  private final int nodes;
+  private final double cores;
+  private final Map<Long, Run> runs = new LinkedHashMap<>();
+  private int node;
+  private long tenure = 1;
+  private long tally;
+  private long warrant;
+  private long leaseFromMs;
+  private long serial;
+  private long inFlight = -1;
+  private long inFlightTenure;
+  private long inFlightSentMs;
+  private boolean gone;
+  private boolean sick;
+  private boolean recalled;
+
+  SimWorker(
+      SimClock clock,
+      Random random,
+      Settings.WorkerLimits limits,
+      Checker checker,
+      Checker.Place place,
+      Map<String, JobSpec> specs,
+      Line line,
+      int nodes,
+      double cores) {
+    this.clock = clock;
+    this.random = random;
+    this.limits = limits;
+    this.checker = checker;
+    this.place = place;
+    this.specs = specs;
+    this.line = line;
+    this.nodes = nodes;
+    this.cores = cores;
+    this.node = random.nextInt(nodes);
+    this.leaseFromMs = clock.nowMs();
+    next(0);
+    watchLease();
+  }
+
+  String host() {
+    return place.host();
+  }
+
+  void sick(boolean now) {
+    sick = now;
+  }
+
+  void recall() {
+    recalled = true;
+  }
+
+  /** The machine is gone, with all on it. */
+  void end() {
+    gone = true;
+    killAll();
+  }
+
+  boolean gone() {
+    return gone;
+  }
+
+  private void killAll() {
+    for (Run r : runs.values()) {
+      leave(r);
+    }
+    runs.clear();
+  }
+
+  private void leave(Run r) {
+    if (r.phase == Report.Phase.RUNNING || r.phase == Report.Phase.SAVING) {
+      checker.leaves(r.uid, r.task, place);
+    }
+  }
+
+  private void watchLease() {
+    clock.at(
+        100,
+        () -> {
+          if (gone) {
+            return;
+          }
+          if (clock.nowMs() - leaseFromMs > limits.leaseS() * 1000) {
+            killAll();
+            tenure++;
+            tally = 0;
+            leaseFromMs = clock.nowMs();
+          }
+          watchLease();
+        });
+  }
+
+  private void next(long delayMs) {
+    clock.at(delayMs, this::send);
+  }
+
+  private void send() {
+    if (gone || inFlight >= 0) {
+      return;
+    }
+    long mine = ++serial;
+    inFlight = mine;
+    inFlightTenure = tenure;
+    inFlightSentMs = clock.nowMs();
+    line.report(this, node, report(), mine);
+    clock.at(4_000, () -> failed(mine));
+  }
+
+  private Report report() {
+    tally++;
+    List<Report.Item> items = new ArrayList<>();
+    for (Run r : runs.values()) {
+      items.add(new Report.Item(r.uid, r.task, r.attempt, r.phase, r.cause, r.saved));
+    }
+    return new Report(
+        place.host(),
+        "10.9.9.9:9000",
+        place.type(),
+        place.zone(),
+        place.spot(),
+        tenure,
+        tally,
+        warrant,
+        recalled ? OptionalDouble.of(8) : OptionalDouble.empty(),
+        items);
+  }
+
+  private void failed(long mine) {
+    if (inFlight == mine) {
+      inFlight = -1;
+      node = (node + 1) % nodes;
+      next(1_000);
+    }
+  }
+
+  void refused(long mine, int toNode) {
+    if (inFlight != mine || gone) {
+      return;
+    }
+    inFlight = -1;
+    if (toNode >= 0 && toNode != node) {
+      node = toNode;
+      next(random.nextInt(500));
+    } else {
+      node = (node + 1) % nodes;
+      next(1_000);
+    }
+  }
+
+  void answered(long mine, long token, List<Order> orders) {
+    if (inFlight != mine || gone) {
+      return;
+    }
+    inFlight = -1;
+    next(Math.round(limits.reportS() * 1000 * (0.75 + random.nextDouble() / 2)));
+    if (inFlightTenure != tenure || token < warrant) {
+      return;
+    }
+    warrant = token;
+    leaseFromMs = inFlightSentMs;
+    orders.forEach(this::execute);
+  }
+
+  private void execute(Order order) {
+    Run known = runs.get(order.attempt());
+    if (order instanceof Order.Launch launch) {
+      if (known == null) {
+        launch(launch);
+      }
+    } else if (order instanceof Order.Stop stop) {
+      if (known != null && known.phase != Report.Phase.EXITED) {
+        stop(known, stop.windDownS());
+      }
+    } else if (known != null && known.phase == Report.Phase.EXITED) {
+      runs.remove(order.attempt());
+    }
+  }
+
+  private void launch(Order.Launch o) {
+    Run r = new Run(o.uid(), o.task(), o.attempt());
+    JobSpec spec = specs.get(o.uid());
+    boolean busy =
+        runs.values().stream()
+            .anyMatch(
+                x -> x.uid.equals(r.uid) && x.task == r.task && x.phase != Report.Phase.EXITED);
+    double used =
+        runs.values().stream()
+            .filter(x -> x.phase != Report.Phase.EXITED)
+            .mapToDouble(x -> specs.get(x.uid).cores())
+            .sum();
+    runs.put(r.attempt, r);
+    if (spec == null) {
+      exit(r, Report.Cause.NO_SUCH);
+    } else if (busy) {
+      exit(r, Report.Cause.BUSY);
+    } else if (used + spec.cores() > cores + 1e-9) {
+      exit(r, Report.Cause.NO_ROOM);
+    } else {
+      clock.at(200 + random.nextInt(1_500), () -> begin(r, spec));
+    }
+  }
+
+  private boolean there(Run r) {
+    return !gone && runs.get(r.attempt) == r;
+  }
+
+  private void begin(Run r, JobSpec spec) {
+    if (!there(r) || r.phase != Report.Phase.FETCHING) {
+      return;
+    }
+    r.phase = Report.Phase.RUNNING;
+    checker.starts(r.uid, r.task, place);
+    if (sick) {
+      clock.at(300, () -> end(r, Report.Cause.ERROR));
+    } else if (spec.expectedS() > 0) {
+      clock.at(Math.round(spec.expectedS() * 1000), () -> end(r, Report.Cause.DONE));
+    }
+  }
+
+  private void end(Run r, Report.Cause cause) {
+    if (there(r) && r.phase == Report.Phase.RUNNING) {
+      if (cause == Report.Cause.DONE) {
+        checker.completes(r.uid, r.task);
+      }
+      exit(r, cause);
+    }
+  }
+
+  private void exit(Run r, Report.Cause cause) {
+    leave(r);
+    r.phase = Report.Phase.EXITED;
+    r.cause = cause;
+  }
+
+  private void stop(Run r, double windDownS) {
+    JobSpec spec = specs.get(r.uid);
+    if (r.phase == Report.Phase.RUNNING && spec.saves() && windDownS >= spec.saveCostS()) {
+      r.phase = Report.Phase.SAVING;
+      clock.at(
+          Math.round(spec.saveCostS() * 1000),
+          () -> {
+            if (there(r) && r.phase == Report.Phase.SAVING) {
+              r.saved = true;
+              exit(r, Report.Cause.STOPPED);
+            }
+          });
+    } else if (r.phase != Report.Phase.SAVING || windDownS == 0) {
+      exit(r, Report.Cause.STOPPED);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -0,0 +1,471 @@
+package org.ploverspindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.ploverspindle.cloud.CloudApi;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.front.Answer;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.node.Controller;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Address;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.workers.Order;
+import org.ploverspindle.workers.Report;
+
+/** Controllers as they really decide, among stand-ins for all else, in simulated time. */
+final class World {
+  static final String STATE = "state";
+  static final String CLOUD = "cloud";
+  private static final long STATE_TIMEOUT_MS = 2_500;
+  private static final long CLOUD_TIMEOUT_MS = 5_000;
+
+  final SimClock clock = new SimClock();
+  final Random random;
+  final SimNetwork network;
+  final SimState state;
+  final SimCloud cloud;
+  final Checker checker;
+  final Settings settings;
+  final int nodes;
+  private final Policy policy;
+  private final Map<String, JobSpec> specs = new HashMap<>();
+  private final List<SimClock.Process> processes = new ArrayList<>();
+  private final List<Controller> controllers = new ArrayList<>();
+  private int jobCounter;
+
+  World(long seed, int nodes, int capacity, List<String> zones) {
+    this.random = new Random(seed);
+    this.nodes = nodes;
+    this.settings = settings("n0", nodes, zones);
+    this.policy = new Policy(3, 8, 15, 0, 100, 20, 1.0, Map.of());
+    this.network = new SimNetwork(clock, random);
+    this.state = new SimState(clock);
+    this.checker = new Checker(clock, settings);
+    List<MachineType> types =
+        List.of(
+            new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, zones),
+            new MachineType("large", Resources.offered(16, 2, 64), 40, 1, 1.1, 0.4, 5, zones));
+    this.cloud = new SimCloud(clock, random, types, capacity, this::boot);
+    for (int i = 0; i < nodes; i++) {
+      processes.add(null);
+      controllers.add(null);
+      startNode(i);
+    }
+    look();
+  }
+
+  private void look() {
+    checker.look();
+    clock.at(1_000, this::look);
+  }
+
+  static Settings settings(String member, int nodes, List<String> zones) {
+    Address nowhere = new Address("127.0.0.1", 1);
+    List<Settings.Member> others = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      if (!member.equals("n" + i)) {
+        others.add(new Settings.Member("n" + i, zones.get(0), nowhere));
+      }
+    }
+    return new Settings(
+        member,
+        zones.get(0),
+        nowhere,
+        nowhere,
+        others,
+        nowhere,
+        nowhere,
+        zones,
+        500,
+        List.of(new Settings.Team("red", 8, 24, 0, 0), new Settings.Team("blue", 8, 0, 0, 0)),
+        List.of(),
+        new Settings.WorkerLimits(1.5, 6, 20),
+        new Settings.StateLimits(200, 60, 8, 12),
+        new Settings.CloudLimits(20, 3),
+        new Settings.Quota(1, 200, 500));
+  }
+
+  // ---- nodes
+
+  private void startNode(int i) {
+    SimClock.Process p =
+        clock
+        .new Process(
+            random.nextInt(1_000_000),
+            1 + (random.nextDouble() - 0.5) / 1000,
+            random.nextInt(1000) - 500);
+    processes.set(i, p);
+    Controller c =
+        new Controller(
+            p,
+            new StoreLine(i, p),
+            new CloudLine(i, p),
+            settings("n" + i, nodes, settings.zones()),
+            policy,
+            new SplittableRandom(random.nextLong()));
+    controllers.set(i, c);
+    p.schedule(0, c::start);
+  }
+
+  boolean alive(int i) {
+    return !processes.get(i).dead();
+  }
+
+  void crash(int i, long backAfterMs) {
+    if (alive(i)) {
+      processes.get(i).kill();
+      clock.at(backAfterMs, () -> startNode(i));
+    }
+  }
+
+  private static String node(int i) {
+    return "n" + i;
+  }
+
+  // ---- lines from nodes to the outside
+
+  /** Sends a request over the network; whatever goes wrong ends in {@code none} at the timeout. */
+  private <T> void ask(
+      int i,
+      SimClock.Process p,
+      String target,
+      long timeoutMs,
+      Supplier<T> execute,
+      T none,
+      Consumer<T> then) {
+    boolean[] over = {false};
+    Consumer<T> once =
+        t -> {
+          if (!over[0]) {
+            over[0] = true;
+            p.schedule(0, () -> then.accept(t));
+          }
+        };
+    clock.at(timeoutMs, () -> once.accept(none));
+    network.request(
+        node(i),
+        target,
+        () -> {
+          T result = execute.get();
+          network.answer(target, node(i), () -> once.accept(result));
+        },
+        () -> {});
+  }
+
+  private final class StoreLine implements StateStore {
+    private final int i;
+    private final SimClock.Process p;
+
+    StoreLine(int i, SimClock.Process p) {
+      this.i = i;
+      this.p = p;
+    }
+
+    private <T> void call(Supplier<T> execute, T refused, T none, Consumer<T> then) {
+      ask(i, p, STATE, STATE_TIMEOUT_MS, () -> state.out() ? refused : execute.get(), none, then);
+    }
+
+    @Override
+    public void txn(Txn txn, Consumer<TxnResult> then) {
+      call(() -> state.txn(txn), new TxnResult.Refused(503), new TxnResult.Unknown(), then);
+    }
+
+    @Override
+    public void page(String prefix, String after, int size, Consumer<PageResult> then) {
+      PageResult failed = new PageResult.Failed();
+      call(() -> state.page(prefix, after, Math.min(size, 7)), failed, failed, then);
+    }
+
+    @Override
+    public void changesAfter(String prefix, long ledger, Consumer<News> then) {
+      News failed = new News.Failed();
+      call(() -> state.changesAfter(prefix, ledger), failed, failed, then);
+    }
+
+    @Override
+    public void openHold(long ttlMs, Consumer<Optional<Long>> then) {
+      call(() -> Optional.of(state.openHold(ttlMs)), Optional.empty(), Optional.empty(), then);
+    }
+
+    @Override
+    public void renewHold(long hold, Consumer<Renewal> then) {
+      call(() -> state.renew(hold), Renewal.FAILED, Renewal.FAILED, then);
+    }
+
+    @Override
+    public void closeHold(long hold) {
+      network.request(node(i), STATE, () -> state.endHold(hold), () -> {});
+    }
+  }
+
+  private final class CloudLine implements CloudApi {
+    private final int i;
+    private final SimClock.Process p;
+
+    CloudLine(int i, SimClock.Process p) {
+      this.i = i;
+      this.p = p;
+    }
+
+    private <T> void call(Supplier<T> execute, T refused, T none, Consumer<T> then) {
+      ask(i, p, CLOUD, CLOUD_TIMEOUT_MS, () -> cloud.out() ? refused : execute.get(), none, then);
+    }
+
+    @Override
+    public void types(Consumer<Optional<List<MachineType>>> then) {
+      call(() -> Optional.of(cloud.types()), Optional.empty(), Optional.empty(), then);
+    }
+
+    @Override
+    public void rent(
+        String claim,
+        String type,
+        String zone,
+        boolean spot,
+        int count,
+        Consumer<RentResult> then) {
+      call(
+          () -> cloud.rent(claim, type, zone, spot, count),
+          new RentResult.Refused(),
+          new RentResult.Unknown(),
+          then);
+    }
+
+    @Override
+    public void release(List<String> hosts, Consumer<Boolean> then) {
+      call(
+          () -> {
+            cloud.release(hosts);
+            return true;
+          },
+          false,
+          false,
+          then);
+    }
+
+    @Override
+    public void hosts(String after, Consumer<Optional<HostPage>> then) {
+      call(() -> Optional.of(cloud.list(after)), Optional.empty(), Optional.empty(), then);
+    }
+  }
+
+  // ---- workers
+
+  private SimWorker boot(Checker.Place place) {
+    return new SimWorker(
+        clock,
+        random,
+        settings.workers(),
+        checker,
+        place,
+        specs,
+        this::report,
+        nodes,
+        place.type().equals("small") ? 4 : 16);
+  }
+
+  private void report(SimWorker from, int to, Report report, long serial) {
+    byte[] body = encode(report);
+    network.request(
+        from.host(),
+        node(to),
+        () -> {
+          if (!alive(to)) {
+            clock.at(1, () -> from.refused(serial, -1));
+            return;
+          }
+          SimClock.Process p = processes.get(to);
+          controllers
+              .get(to)
+              .checkin(
+                  body,
+                  answer -> {
+                    if (!p.dead()) {
+                      network.answer(node(to), from.host(), () -> answered(from, serial, answer));
+                    }
+                  });
+        },
+        () -> {});
+  }
+
+  private void answered(SimWorker to, long serial, Answer answer) {
+    ObjectNode body = Cbor.readMap(answer.body()).orElse(Cbor.map());
+    if (answer.status() == 200) {
+      List<Order> orders = new ArrayList<>();
+      for (JsonNode o : body.path("orders")) {
+        String piece = o.path("piece").asText();
+        String uid = piece.substring(0, piece.lastIndexOf('/'));
+        int task = Integer.parseInt(piece.substring(piece.lastIndexOf('/') + 1));
+        long attempt = o.path("try").asLong();
+        orders.add(
+            switch (o.path("verb").asText()) {
+              case "launch" -> new Order.Launch(uid, task, attempt);
+              case "stop" -> new Order.Stop(uid, task, attempt, o.path("wind_down_s").asDouble());
+              default -> new Order.Forget(uid, task, attempt);
+            });
+      }
+      to.answered(serial, body.path("warrant").asLong(), orders);
+    } else {
+      String name = body.path("steward").asText("n-1");
+      to.refused(serial, answer.status() == 421 ? Integer.parseInt(name.substring(1)) : -1);
+    }
+  }
+
+  private static byte[] encode(Report r) {
+    ObjectNode b = Cbor.map();
+    b.put("host", r.host()).put("addr", r.address()).put("flavour", r.type());
+    b.put("site", r.zone()).put("loaners", r.spot());
+    b.put("tenure", r.tenure()).put("tally", r.tally()).put("warrant", r.warrant());
+    r.recallS().ifPresent(s -> b.put("recall_s", s));
+    ArrayNode pieces = b.putArray("pieces");
+    for (Report.Item i : r.items()) {
+      ObjectNode p = pieces.addObject();
+      p.put("piece", i.uid() + "/" + i.task()).put("try", i.attempt());
+      p.put("status", i.phase().name().toLowerCase(Locale.ROOT));
+      if (i.cause() != Report.Cause.NONE) {
+        p.put("cause", i.cause().name().toLowerCase(Locale.ROOT));
+      }
+      p.put("stored", i.saved());
+    }
+    return Cbor.write(b);
+  }
+
+  // ---- users
+
+  String newUid() {
+    return String.format(Locale.ROOT, "run-%06d", jobCounter++);
+  }
+
+  /** A user who submits until an answer is final, then polls until the job is over. */
+  void user(JobSpec spec) {
+    checker.submitted(spec);
+    specs.put(spec.uid(), spec);
+    submit(spec, 0);
+  }
+
+  private int anyNode() {
+    return random.nextInt(nodes);
+  }
+
+  private void toNode(int i, Consumer<Controller> request) {
+    if (alive(i)) {
+      SimClock.Process p = processes.get(i);
+      clock.at(
+          1 + random.nextInt(5),
+          () -> {
+            if (!p.dead()) {
+              request.accept(controllers.get(i));
+            }
+          });
+    }
+  }
+
+  private Consumer<Answer> heard(String uid, boolean submission, int from, Consumer<Answer> then) {
+    SimClock.Process p = processes.get(from);
+    return a -> {
+      if (!p.dead()) {
+        String status = Cbor.readMap(a.body()).orElse(Cbor.map()).path("status").asText("");
+        checker.told(uid, a.status(), status, submission);
+        then.accept(a);
+      }
+    };
+  }
+
+  private void submit(JobSpec spec, int tries) {
+    boolean[] accepted = {false};
+    int to = anyNode();
+    toNode(
+        to,
+        c ->
+            c.submit(
+                encode(spec),
+                heard(
+                    spec.uid(),
+                    true,
+                    to,
+                    a -> {
+                      if (a.status() == 200 || a.status() == 201) {
+                        accepted[0] = true;
+                        clock.at(1_000, () -> poll(spec.uid()));
+                      }
+                    })));
+    clock.at(
+        2_000 + random.nextInt(2_000),
+        () -> {
+          if (!accepted[0] && tries < 40) {
+            submit(spec, tries + 1);
+          } else if (random.nextInt(6) == 0) {
+            submit(spec, 100);
+          }
+        });
+  }
+
+  void poll(String uid) {
+    int to = anyNode();
+    boolean[] over = {false};
+    toNode(
+        to,
+        c ->
+            c.poll(
+                uid,
+                heard(
+                    uid,
+                    false,
+                    to,
+                    a -> {
+                      String s = Cbor.readMap(a.body()).orElse(Cbor.map()).path("status").asText();
+                      over[0] = s.equals("done") || s.equals("aborted");
+                    })));
+    clock.at(
+        2_500 + random.nextInt(2_500),
+        () -> {
+          if (!over[0] || random.nextInt(4) > 0) {
+            poll(uid);
+          }
+        });
+  }
+
+  void cancel(String uid, int tries) {
+    checker.cancelAsked(uid);
+    int to = anyNode();
+    boolean[] told = {false};
+    toNode(to, c -> c.withdraw(uid, heard(uid, false, to, a -> told[0] = a.status() == 200)));
+    clock.at(
+        2_500,
+        () -> {
+          if (!told[0] && tries < 30) {
+            cancel(uid, tries + 1);
+          }
+        });
+  }
+
+  static byte[] encode(JobSpec s) {
+    ObjectNode b = Cbor.map();
+    b.put("uid", s.uid()).put("jobclass", s.jobClass()).put("owner", s.team());
+    b.put("shape", s.expectedS() > 0 ? "batch" : "daemon");
+    b.put("urgency", s.urgency().name().toLowerCase(Locale.ROOT)).put("pieces", s.tasks());
+    b.put("cores", s.cores()).put("accelerators", s.accelerators()).put("mem_gb", s.memoryGb());
+    s.types().ifPresent(t -> t.forEach(b.putArray("flavours")::add));
+    s.zone().ifPresent(z -> b.put("site", z));
+    b.put("one_zone", s.oneZone()).put("apart", s.apart()).put("loaners", s.spot());
+    b.put("bundle", s.image()).put("image_gb", s.imageGb()).put("expected_s", s.expectedS());
+    b.put("save_every_s", s.saveEveryS()).put("save_cost_s", s.saveCostS());
+    s.dueS().ifPresent(d -> b.put("due_s", d));
+    return Cbor.write(b);
+  }
+}
