--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -32,10 +32,11 @@
 
   private static final class JobSeen {
     private final JobSpec spec;
-    private boolean accepted;
+    private long acceptedMs = Long.MAX_VALUE;
     private boolean cancelAsked;
     private long cancelToldMs = -1;
     private String finalWord = "";
+    private long finalMs = Long.MAX_VALUE;
     private final Set<Integer> done = new HashSet<>();
     private final Map<Integer, Place> on = new LinkedHashMap<>();
 
@@ -143,8 +144,11 @@
     }
   }
 
-  /** A user gets an answer on a job: to a submission, a poll or a cancellation. */
-  void told(String uid, int status, String state, boolean submission) {
+  /**
+   * A user gets an answer on a job: to a submission, a poll or a cancellation. What was asked
+   * before another answer came may be older than that one.
+   */
+  void told(String uid, int status, String state, boolean submission, long askedMs) {
     JobSeen job = jobs.get(uid);
     if (job == null) {
       if (status == 200) {
@@ -152,15 +156,17 @@
       }
       return;
     }
-    if (job.accepted && (status == 404 || submission && (status == 400 || status == 422))) {
+    if (askedMs >= job.acceptedMs
+        && (status == 404 || submission && (status == 400 || status == 422))) {
       report(Rule.FORGOTTEN, uid + " is answered " + status);
     }
     if (status != 200 && status != 201) {
       return;
     }
-    job.accepted = true;
+    job.acceptedMs = Math.min(job.acceptedMs, clock.nowMs());
     boolean over = state.equals("done") || state.equals("aborted");
-    if (!job.finalWord.isEmpty() && !job.finalWord.equals(state)) {
+    if ((askedMs >= job.finalMs || over && !job.finalWord.isEmpty())
+        && !job.finalWord.equals(state)) {
       report(Rule.WENT_BACK, uid + " was " + job.finalWord + " and is " + state);
     }
     if (state.equals("aborted") && !job.cancelAsked) {
@@ -171,6 +177,7 @@
     }
     if (over) {
       job.finalWord = state;
+      job.finalMs = Math.min(job.finalMs, clock.nowMs());
     }
     if (state.equals("aborted") && job.cancelToldMs < 0) {
       job.cancelToldMs = clock.nowMs();
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -49,13 +49,13 @@
   @Test
   void reportsNothingOnAnOrderlyJob() {
     checker.submitted(spec("run-1", 1, false, false));
-    checker.told("run-1", 201, "queued", true);
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
     for (int task = 0; task < 2; task++) {
       checker.starts("run-1", task, A);
       checker.completes("run-1", task);
       checker.leaves("run-1", task, A);
     }
-    checker.told("run-1", 200, "done", false);
+    checker.told("run-1", 200, "done", false, clock.nowMs());
     assertEquals(List.of(), checker.broken());
   }
 
@@ -103,7 +103,7 @@
     checker.submitted(spec("run-1", 1, false, false));
     checker.starts("run-1", 0, A);
     checker.cancelAsked("run-1");
-    checker.told("run-1", 200, "aborted", false);
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
     clock.runUntil(20_001);
     checker.look();
     only(Checker.Rule.RAN_CANCELLED);
@@ -112,14 +112,15 @@
   @Test
   void reportsAForgottenJob() {
     checker.submitted(spec("run-1", 1, false, false));
-    checker.told("run-1", 201, "queued", true);
-    checker.told("run-1", 404, "", false);
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
+    clock.runUntil(5);
+    checker.told("run-1", 404, "", false, clock.nowMs());
     only(Checker.Rule.FORGOTTEN);
   }
 
   @Test
   void reportsAnInventedJob() {
-    checker.told("run-9", 200, "queued", false);
+    checker.told("run-9", 200, "queued", false, clock.nowMs());
     only(Checker.Rule.INVENTED);
   }
 
@@ -127,7 +128,7 @@
   void reportsDoneTooEarly() {
     checker.submitted(spec("run-1", 1, false, false));
     checker.completes("run-1", 0);
-    checker.told("run-1", 200, "done", false);
+    checker.told("run-1", 200, "done", false, clock.nowMs());
     only(Checker.Rule.NOT_DONE);
   }
 
@@ -135,15 +136,15 @@
   void reportsAnOlderAnswer() {
     checker.submitted(spec("run-1", 1, false, false));
     checker.cancelAsked("run-1");
-    checker.told("run-1", 200, "aborted", false);
-    checker.told("run-1", 200, "running", false);
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    checker.told("run-1", 200, "running", false, clock.nowMs());
     only(Checker.Rule.WENT_BACK);
   }
 
   @Test
   void reportsACancellationNobodyAskedFor() {
     checker.submitted(spec("run-1", 1, false, false));
-    checker.told("run-1", 200, "aborted", false);
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
     only(Checker.Rule.WENT_BACK);
   }
 }
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -377,10 +377,11 @@
 
   private Consumer<Answer> heard(String uid, boolean submission, int from, Consumer<Answer> then) {
     SimClock.Process p = processes.get(from);
+    long askedMs = clock.nowMs();
     return a -> {
       if (!p.dead()) {
         String status = Cbor.readMap(a.body()).orElse(Cbor.map()).path("status").asText("");
-        checker.told(uid, a.status(), status, submission);
+        checker.told(uid, a.status(), status, submission, askedMs);
         then.accept(a);
       }
     };
