Answers to reports wait until placements are durable

Ruled out: a lack of machines (all 40 were up) and write budget (no refusals). A report from a machine with room is now answered when its orders are durable, at the latest after 0.6 report periods (2 s at most).

--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,8 +1,11 @@
 package org.ploverspindle.leadership;
 
 import java.util.BitSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.CloudApi;
@@ -56,6 +59,9 @@
       RandomGenerator random,
       TokenBucket writes) {}
 
+  /** A report whose answer waits for orders to become durable. */
+  private record Held(Report report, Consumer<List<Order>> then, long untilMs) {}
+
   private final Surroundings with;
   private final Term term;
   private final Election election;
@@ -68,6 +74,8 @@
   private final Placer placer;
   private final Rentals rentals;
   private final Scope duties = new Scope();
+  private final Map<String, Held> held = new LinkedHashMap<>();
+  private final long holdMs;
   private long attemptCounter;
   private boolean placingPlanned;
   private boolean closed;
@@ -76,6 +84,7 @@
     this.with = with;
     this.term = term;
     this.election = election;
+    this.holdMs = Math.round(Math.min(2.0, 0.6 * with.settings().workers().reportS()) * 1000);
     this.teams = new TeamUsage(with.settings().teams());
     this.jobs = new JobTable(with.replica(), with.catalogue(), teams);
     this.fleet = new Fleet(with.catalogue(), teams, with.timing(), term);
@@ -135,6 +144,7 @@
     with.replica().listen(this::recordChanged);
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
+    duties.add(with.scheduler().every(100, this::releaseHeld));
     for (Job job : List.copyOf(jobs.all())) {
       tidy(job);
     }
@@ -143,6 +153,7 @@
 
   public void close() {
     closed = true;
+    List.copyOf(held.keySet()).forEach(this::release);
     writer.close();
     duties.cancel();
   }
@@ -262,13 +273,59 @@
 
   // ---- reports
 
-  /** Orders for a worker. Without a sure lead the report is taken in, and nothing is ordered. */
-  public List<Order> report(Report report) {
-    List<Order> orders = desk.take(report, with.scheduler().nowMs());
-    if (!report.recallS().isEmpty()) {
-      fleet.get(report.host()).ifPresent(this::recalled);
+  /**
+   * Takes a report in and answers with orders. The answer waits a little when the machine has room:
+   * what is placed there by then goes out at once, where it would wait for the next report. Without
+   * a sure lead nothing is ordered.
+   */
+  public void report(Report report, Consumer<List<Order>> then) {
+    release(report.host());
+    long now = with.scheduler().nowMs();
+    List<Order> orders = desk.take(report, now);
+    Optional<Machine> m = fleet.get(report.host());
+    if (report.recallS().isPresent()) {
+      m.ifPresent(this::recalled);
+    }
+    if (!mayDecide()) {
+      then.accept(List.of());
+    } else if (orders.isEmpty() && m.isPresent() && roomFor(m.get(), report, now)) {
+      held.put(report.host(), new Held(report, then, now + holdMs));
+    } else {
+      then.accept(orders);
+    }
+  }
+
+  private boolean roomFor(Machine m, Report report, long now) {
+    return m.tally() == report.tally()
+        && m.tenure() == report.tenure()
+        && m.usable(now, holdMs)
+        && m.free().cores() > 0;
+  }
+
+  private void release(String host) {
+    Held h = held.remove(host);
+    if (h != null) {
+      h.then().accept(mayDecide() ? desk.later(h.report(), with.scheduler().nowMs()) : List.of());
     }
-    return mayDecide() ? orders : List.of();
+  }
+
+  /** Answers what was held for long enough, or for what has now become durable. */
+  private void releaseHeld() {
+    long now = with.scheduler().nowMs();
+    for (Held h : List.copyOf(held.values())) {
+      boolean orders =
+          fleet
+              .get(h.report().host())
+              .map(m -> m.placements().stream().anyMatch(Steward::hasOrder))
+              .orElse(true);
+      if (orders || now >= h.untilMs() || !mayDecide()) {
+        release(h.report().host());
+      }
+    }
+  }
+
+  private static boolean hasOrder(Placement p) {
+    return p.phase() == Placement.Phase.READY || !p.neverSent() && (p.stopping() || p.job().over());
   }
 
   /**
@@ -369,7 +426,7 @@
   private final class WriterEvents implements ProgressWriter.Listener {
     @Override
     public void durable() {
-      // Launches go out with the next report of each machine.
+      releaseHeld();
     }
 
     @Override
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -1,6 +1,5 @@
 package org.ploverspindle.node;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -22,7 +21,6 @@
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.TokenBucket;
 import org.ploverspindle.state.TypesRecord;
-import org.ploverspindle.workers.Order;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportCodec;
 import org.slf4j.Logger;
@@ -187,8 +185,12 @@
       then.accept(Answer.later(503, "the state is not known", 1));
       return;
     }
-    List<Order> orders = steward.get().report(report.get());
-    then.accept(new Answer(200, ReportCodec.encodeAnswer(term.get().token(), orders), 0));
+    long token = term.get().token();
+    steward
+        .get()
+        .report(
+            report.get(),
+            orders -> then.accept(new Answer(200, ReportCodec.encodeAnswer(token, orders), 0)));
   }
 
   private Answer elsewhere() {
--- a/src/main/java/org/ploverspindle/workers/ReportDesk.java
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -87,6 +87,18 @@
     return new Reading(m, report, ours, nowMs).orders();
   }
 
+  /**
+   * What can be ordered by now in answer to a report that was taken before: what has become durable
+   * since. Nothing when a newer report came, as its answer is the one that counts.
+   */
+  public List<Order> later(Report report, long nowMs) {
+    Optional<Machine> m = fleet.get(report.host());
+    if (m.isEmpty() || m.get().tenure() != report.tenure() || m.get().tally() != report.tally()) {
+      return List.of();
+    }
+    return new Reading(m.get(), report, report.warrant() == term.token(), nowMs).later();
+  }
+
   /** A new session began with nothing on the machine: what was placed in older ones is gone. */
   private void endOlderSessions(Machine m, long nowMs) {
     for (Placement p : List.copyOf(m.placements())) {
@@ -143,6 +155,35 @@
       return orders;
     }
 
+    List<Order> later() {
+      for (Report.Item item : report.items()) {
+        if (item.phase() == Report.Phase.EXITED && machine.placement(item.attempt()) == null) {
+          unplaced(item);
+        }
+      }
+      for (Placement p : List.copyOf(machine.placements())) {
+        if (p.stopping() || p.job().over()) {
+          stopLater(p);
+        }
+      }
+      if (ours && mayLaunch.get()) {
+        launches();
+      }
+      return orders;
+    }
+
+    /** The stop was decided after the report was taken. */
+    private void stopLater(Placement p) {
+      boolean shownThere =
+          report.items().stream()
+              .anyMatch(i -> i.attempt() == p.attempt() && i.phase() != Report.Phase.EXITED);
+      if (shownThere && p.phase() != Placement.Phase.SAVING) {
+        order(
+            new Order.Stop(
+                p.job().uid(), p.task(), p.attempt(), p.job().over() ? 0 : p.windDownS()));
+      }
+    }
+
     private void placed(Placement p, Report.Item item) {
       switch (item.phase()) {
         case EXITED -> exited(p, item);
