Work with time left is rented for at half its time; what a guarantee covers at once

Cause: at Kosice audio-transcribe has 350 s of slack, and ordinary machines at three times the spot price were rented to drain it within 30 s. Ruled out: a lack of spot machines for the load as a whole.

--- a/src/main/java/org/ploverspindle/jobs/TeamUsage.java
+++ b/src/main/java/org/ploverspindle/jobs/TeamUsage.java
@@ -52,9 +52,16 @@
 
   /** Would the team stay within its guarantee with this much more? */
   public boolean withinGuarantee(int team, Resources more) {
+    return guarantees(
+        team,
+        new Resources(cores[team] + more.cores(), accelerators[team] + more.accelerators(), 0));
+  }
+
+  /** Does the team's guarantee cover this much in all? */
+  public boolean guarantees(int team, Resources all) {
     Settings.Team t = teams.get(team);
-    return cores[team] + more.cores() <= t.cores() * 1000 + 0.5
-        && accelerators[team] + more.accelerators() <= t.accelerators() * 1000 + 0.5;
+    return all.cores() <= t.cores() * 1000 + 0.5
+        && all.accelerators() <= t.accelerators() * 1000 + 0.5;
   }
 
   public long cores(int team) {
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.Resources;
@@ -103,6 +108,7 @@
   /** Cores that finish each job's work within its window, in thousandths. */
   private double coresNeeded(Collection<Job> all, long nowMs, long wallMs) {
     double needed = 0;
+    Set<Job> guaranteed = guaranteed(all);
     for (Job job : all) {
       if (job.over() || job.blocked()) {
         continue;
@@ -119,16 +125,45 @@
         double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
         leftS += Math.max(runS * 0.1, runS - ranS);
       }
-      double window =
-          job.spec().dueS().isPresent()
-              ? job.spec().dueS().getAsDouble() - (wallMs - job.acceptedWallMs()) / 1000.0
-              : drainS;
-      double horizon = Math.max(runS, Math.min(window, drainS));
+      double horizon = Math.max(runS, horizonS(job, guaranteed.contains(job), wallMs));
       needed += each * Math.min(open + job.live().size(), leftS / horizon);
     }
     return needed;
   }
 
+  /**
+   * In how many seconds a job's work should be through. What its team's guarantee covers, and what
+   * has no due time, is served as fast as can be; other work may take half of the time it has left,
+   * and the other half is for estimates that are wrong.
+   */
+  private double horizonS(Job job, boolean guaranteed, long wallMs) {
+    if (guaranteed || job.spec().dueS().isEmpty()) {
+      return drainS;
+    }
+    double leftS = job.spec().dueS().getAsDouble() - (wallMs - job.acceptedWallMs()) / 1000.0;
+    return leftS < drainS ? leftS : Math.max(drainS, leftS / 2);
+  }
+
+  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
+  private Set<Job> guaranteed(Collection<Job> all) {
+    Set<Job> covered = new HashSet<>();
+    Map<Integer, Resources> asked = new HashMap<>();
+    all.stream()
+        .filter(j -> !j.over())
+        .sorted(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid))
+        .forEach(
+            j -> {
+              long tasks = j.spec().tasks() - j.done().cardinality();
+              Resources r =
+                  new Resources(j.perTask().cores() * tasks, j.perTask().accelerators() * tasks, 0);
+              Resources sum = asked.merge(j.team(), r, Resources::plus);
+              if (teams.guarantees(j.team(), sum)) {
+                covered.add(j);
+              }
+            });
+    return covered;
+  }
+
   private void serve(Job job, List<Machine> machines) {
     int need = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
     for (Virtual v : coming) {
--- a/src/main/java/org/ploverspindle/policy/Policy.java
+++ b/src/main/java/org/ploverspindle/policy/Policy.java
@@ -19,7 +19,7 @@
   /** Bounds of one machine type's pool that differ from the common ones. */
   public record PoolBounds(int min, int max) {}
 
-  public static final Policy DEFAULT = new Policy(3, 30, 20, 0, 1000, 30, 1.0, Map.of());
+  public static final Policy DEFAULT = new Policy(3, 30, 60, 0, 1000, 30, 1.0, Map.of());
 
   public PoolBounds pool(String type) {
     return pools.getOrDefault(type, new PoolBounds(poolMin, poolMax));
