--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -109,6 +109,7 @@
             new DeskEvents());
     this.placer =
         new Placer(
+            with.catalogue(),
             fleet,
             jobs,
             teams,
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.LongSupplier;
+import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobTable;
 import org.ploverspindle.jobs.Shape;
@@ -22,6 +23,10 @@
     void placed(Placement p);
   }
 
+  /** How many cores of room a second of fetching is worth when a machine is chosen. */
+  private static final double CORES_PER_FETCH_S = 2;
+
+  private final Catalogue catalogue;
   private final Fleet fleet;
   private final JobTable jobs;
   private final TeamUsage teams;
@@ -31,6 +36,7 @@
   private final Listener listener;
 
   public Placer(
+      Catalogue catalogue,
       Fleet fleet,
       JobTable jobs,
       TeamUsage teams,
@@ -38,6 +44,7 @@
       LongSupplier nextAttempt,
       long silenceMs,
       Listener listener) {
+    this.catalogue = catalogue;
     this.fleet = fleet;
     this.jobs = jobs;
     this.teams = teams;
@@ -123,15 +130,22 @@
     return -1;
   }
 
-  /** The machine that is left with the least room; one that has the image comes before others. */
-  private static Machine best(Job job, List<Machine> usable) {
+  /**
+   * The machine with the least room, so that large rooms stay whole for large tasks. Fetching the
+   * image counts against one that lacks it, by the time that the fetch takes.
+   */
+  private Machine best(Job job, List<Machine> usable) {
     Machine best = null;
-    long bestScore = Long.MAX_VALUE;
+    double bestScore = Double.MAX_VALUE;
     for (Machine m : usable) {
       if (!allows(job, m) || !job.perTask().fitsIn(m.free())) {
         continue;
       }
-      long score = m.free().cores() + (m.hasImage(job.spec().image()) ? 0 : 1_000_000L);
+      double fetchS =
+          m.hasImage(job.spec().image())
+              ? 0
+              : job.spec().imageGb() / Math.max(0.01, catalogue.type(m.type()).fetchGbPerS());
+      double score = m.free().cores() / 1000.0 + fetchS * CORES_PER_FETCH_S;
       if (score < bestScore) {
         bestScore = score;
         best = m;
