--- /dev/null
+++ b/src/main/java/org/ploverspindle/cli/CheckCommand.java
@@ -0,0 +1,46 @@
+package org.ploverspindle.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.InvalidSettings;
+import org.ploverspindle.settings.Problem;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.settings.SettingsFile;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Checks settings and policy without starting anything. */
+@Command(
+    name = "check",
+    mixinStandardHelpOptions = true,
+    description = "Checks settings and policy; prints every problem. Exit code 2 on any.")
+final class CheckCommand implements Callable<Integer> {
+  @Spec private CommandSpec spec;
+
+  @Option(names = "--config", paramLabel = "FILE", required = true, description = "The settings.")
+  private Path config;
+
+  @Option(names = "--policy", paramLabel = "FILE", description = "The policy, if any.")
+  private Optional<Path> policy = Optional.empty();
+
+  @Override
+  public Integer call() {
+    List<Problem> problems = new ArrayList<>();
+    try {
+      Settings settings = SettingsFile.load(config);
+      Policy checked = Main.policy(policy, settings);
+      spec.commandLine().getOut().println("valid: " + settings.member() + ", " + checked);
+      return 0;
+    } catch (InvalidSettings e) {
+      problems.addAll(e.problems());
+    }
+    problems.forEach(spec.commandLine().getErr()::println);
+    return 2;
+  }
+}
--- a/src/main/java/org/ploverspindle/cli/Main.java
+++ b/src/main/java/org/ploverspindle/cli/Main.java
@@ -3,12 +3,14 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import org.ploverspindle.policy.Policy;
+import org.ploverspindle.policy.PolicyFile;
 import org.ploverspindle.settings.InvalidSettings;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.settings.SettingsFile;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -22,31 +24,54 @@
     mixinStandardHelpOptions = true,
     version = "ploverspindle 0.1.0",
     description = "Runs a controller of the cluster scheduler.",
-    subcommands = {Rehearse.class})
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = {
+      "0:all is well",
+      "1:it could not be done, as the message says",
+      "2:the command line, the settings or the policy are invalid"
+    },
+    subcommands = {
+      CheckCommand.class,
+      BoundsCommand.class,
+      StatusCommand.class,
+      Rehearse.class,
+      CommandLine.HelpCommand.class
+    })
 public final class Main implements Callable<Integer> {
+  /** Not an exit code: the service's threads keep the process up. */
+  private static final int RUNNING = -1;
+
   @Spec private CommandSpec spec;
 
   @Option(
       names = "--config",
       paramLabel = "FILE",
       description = "The platform's settings (TOML); runs the service.")
-  private Path config;
+  private Optional<Path> config = Optional.empty();
+
+  @Option(
+      names = "--policy",
+      paramLabel = "FILE",
+      description = "Operators' own settings; see docs/operations.md.")
+  private Optional<Path> policy = Optional.empty();
 
   private Main() {}
 
   public static void main(String[] args) {
     setUpLogging();
     int code = commandLine().execute(args);
-    // While the service runs, its threads keep the process up.
     if (code != RUNNING) {
       System.exit(code);
     }
   }
 
-  static final int RUNNING = -1;
-
   static CommandLine commandLine() {
-    return new CommandLine(new Main());
+    return new CommandLine(new Main())
+        .setExecutionExceptionHandler(
+            (e, line, parsed) -> {
+              line.getErr().println(e instanceof InvalidSettings ? e.getMessage() : "failed: " + e);
+              return e instanceof InvalidSettings ? 2 : 1;
+            });
   }
 
   private static void setUpLogging() {
@@ -60,24 +85,22 @@
     System.setProperty("org.jboss.logging.provider", "slf4j");
   }
 
+  /** The policy of the file, or the defaults. */
+  static Policy policy(Optional<Path> file, Settings settings) throws InvalidSettings {
+    return file.isPresent() ? PolicyFile.load(file.get(), settings) : Policy.DEFAULT;
+  }
+
   @Override
   public Integer call() throws Exception {
-    PrintWriter err = spec.commandLine().getErr();
-    if (config == null) {
+    if (config.isEmpty()) {
+      PrintWriter err = spec.commandLine().getErr();
+      err.println("--config FILE or a command is needed");
       spec.commandLine().usage(err);
-      return CommandLine.ExitCode.USAGE;
-    }
-    Settings settings;
-    try {
-      settings = SettingsFile.load(config);
-    } catch (InvalidSettings e) {
-      err.println(e.getMessage());
-      return CommandLine.ExitCode.USAGE;
+      return 2;
     }
-    Service service = new Service(settings, Policy.DEFAULT, new java.util.SplittableRandom());
-    service.start();
-    Logger log = LoggerFactory.getLogger(Main.class);
-    log.info("{} serves {}", settings.member(), settings.front());
+    Settings settings = SettingsFile.load(config.get());
+    new Service(settings, policy(policy, settings), new SplittableRandom()).start();
+    LoggerFactory.getLogger(Main.class).info("{} serves {}", settings.member(), settings.front());
     return RUNNING;
   }
 }
--- /dev/null
+++ b/src/main/java/org/ploverspindle/policy/Evaluator.java
@@ -0,0 +1,92 @@
+package org.ploverspindle.policy;
+
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Checks an expression against the known names and gives its value. All values are numbers. */
+final class Evaluator {
+  private final Map<String, Double> names;
+
+  Evaluator(Map<String, Double> names) {
+    this.names = names;
+  }
+
+  /** The value of an expression that must be an amount. */
+  double amount(Expr e) throws PolicyError {
+    if (isCondition(e)) {
+      throw new PolicyError(e.column(), "a comparison is no amount");
+    }
+    // Both branches of an "if" are checked, also the one that today's settings do not take.
+    if (e instanceof Expr.If choice) {
+      double then = amount(choice.then());
+      double otherwise = amount(choice.otherwise());
+      return condition(choice.condition()) ? then : otherwise;
+    }
+    if (e instanceof Expr.Num num) {
+      return num.value();
+    }
+    if (e instanceof Expr.Name name) {
+      Double value = names.get(name.name());
+      if (value == null) {
+        String known = names.keySet().stream().sorted().collect(Collectors.joining(", "));
+        throw new PolicyError(
+            name.column(), "unknown name \"" + name.name() + "\"; known are " + known);
+      }
+      return value;
+    }
+    if (e instanceof Expr.Negate negate) {
+      return -amount(negate.of());
+    }
+    if (e instanceof Expr.Call call) {
+      return call(call);
+    }
+    return arithmetic((Expr.Binary) e);
+  }
+
+  private static boolean isCondition(Expr e) {
+    return e instanceof Expr.Binary b && "< <= > >= ==".contains(b.op());
+  }
+
+  private boolean condition(Expr e) throws PolicyError {
+    if (!(e instanceof Expr.Binary b) || !isCondition(e)) {
+      throw new PolicyError(e.column(), "a comparison is needed here");
+    }
+    double left = amount(b.left());
+    double right = amount(b.right());
+    return switch (b.op()) {
+      case "<" -> left < right;
+      case "<=" -> left <= right;
+      case ">" -> left > right;
+      case ">=" -> left >= right;
+      default -> left == right;
+    };
+  }
+
+  private double arithmetic(Expr.Binary b) throws PolicyError {
+    double left = amount(b.left());
+    double right = amount(b.right());
+    if (b.op().equals("/") && right == 0) {
+      throw new PolicyError(b.column(), "division by zero");
+    }
+    return switch (b.op()) {
+      case "+" -> left + right;
+      case "-" -> left - right;
+      case "*" -> left * right;
+      default -> left / right;
+    };
+  }
+
+  private double call(Expr.Call call) throws PolicyError {
+    boolean max = call.function().equals("max");
+    if (!max && !call.function().equals("min")) {
+      throw new PolicyError(
+          call.column(), "unknown function \"" + call.function() + "\"; known are max, min");
+    }
+    double result = amount(call.arguments().get(0));
+    for (Expr argument : call.arguments()) {
+      double value = amount(argument);
+      result = max ? Math.max(result, value) : Math.min(result, value);
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/policy/PolicyError.java
@@ -0,0 +1,10 @@
+package org.ploverspindle.policy;
+
+/** A problem in one line of a policy, with its column. */
+final class PolicyError extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  PolicyError(int column, String message) {
+    super(message + " (column " + column + ")");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/policy/PolicyFile.java
@@ -0,0 +1,165 @@
+package org.ploverspindle.policy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ploverspindle.settings.InvalidSettings;
+import org.ploverspindle.settings.Problem;
+import org.ploverspindle.settings.Settings;
+
+/**
+ * Reads a policy: a line a setting, {@code NAME = EXPRESSION} or {@code pool "TYPE" min =
+ * EXPRESSION}; {@code #} begins a comment. Expressions may use amounts of the platform's settings.
+ */
+public final class PolicyFile {
+  private record Range(double least, double most, boolean whole) {}
+
+  private static final Map<String, Range> KNOWN =
+      Map.of(
+          "scan_s", new Range(0.5, 600, false),
+          "backoff_s", new Range(1, 3_600, false),
+          "idle_s", new Range(1, 86_400, false),
+          "drain_s", new Range(1, 3_600, false),
+          "pool_min", new Range(0, 100_000, true),
+          "pool_max", new Range(0, 100_000, true));
+
+  private final String file;
+  private final Evaluator evaluator;
+  private final Map<String, Double> values = new LinkedHashMap<>();
+  private final Set<String> seen = new HashSet<>();
+  private final List<Problem> problems = new ArrayList<>();
+
+  private PolicyFile(String file, Settings settings) {
+    this.file = file;
+    this.evaluator = new Evaluator(names(settings));
+  }
+
+  private static Map<String, Double> names(Settings s) {
+    Map<String, Double> names = new HashMap<>();
+    names.put("nodes", (double) s.nodes());
+    names.put("zones", (double) s.zones().size());
+    names.put("teams", (double) s.teams().size());
+    names.put("report_s", s.workers().reportS());
+    names.put("lease_s", s.workers().leaseS());
+    names.put("cancel_s", s.workers().cancelS());
+    names.put("state_rps", s.stateLimits().rps());
+    names.put("state_write_rps", s.stateLimits().writeRps());
+    names.put("cloud_rps", s.cloudLimits().rps());
+    names.put("list_lag_s", s.cloudLimits().listLagS());
+    return names;
+  }
+
+  public static Policy load(Path path, Settings settings) throws InvalidSettings {
+    try {
+      return parse(path.toString(), Files.readString(path), settings);
+    } catch (NoSuchFileException e) {
+      throw new InvalidSettings(
+          List.of(new Problem(path.toString(), 0, "", "there is no such file")));
+    } catch (IOException e) {
+      throw new InvalidSettings(
+          List.of(new Problem(path.toString(), 0, "", "can't be read: " + e.getMessage())));
+    }
+  }
+
+  public static Policy parse(String file, String text, Settings settings) throws InvalidSettings {
+    PolicyFile reader = new PolicyFile(file, settings);
+    List<String> lines = text.lines().toList();
+    for (int i = 0; i < lines.size(); i++) {
+      reader.line(i + 1, lines.get(i));
+    }
+    Policy policy = reader.policy();
+    if (!reader.problems.isEmpty()) {
+      throw new InvalidSettings(reader.problems);
+    }
+    return policy;
+  }
+
+  private void line(int number, String line) {
+    int comment = line.indexOf('#');
+    String code = comment < 0 ? line : line.substring(0, comment);
+    if (code.isBlank()) {
+      return;
+    }
+    String target = "";
+    try {
+      Parser parser = new Parser(code);
+      target = parser.target();
+      Range range = range(target);
+      Expr expr = parser.whole();
+      if (!seen.add(target)) {
+        throw new PolicyError(1, "stands twice");
+      }
+      double value = evaluator.amount(expr);
+      if (value < range.least()
+          || value > range.most()
+          || range.whole() && value != Math.rint(value)) {
+        throw new PolicyError(
+            expr.column(),
+            "is "
+                + value
+                + " and must be "
+                + (range.whole() ? "a whole number " : "")
+                + "from "
+                + range.least()
+                + " to "
+                + range.most());
+      }
+      values.put(target, value);
+    } catch (PolicyError e) {
+      problems.add(new Problem(file, number, target, e.getMessage()));
+    }
+  }
+
+  private static Range range(String target) throws PolicyError {
+    String name = target.startsWith("pool/") ? "pool_max" : target;
+    Range range = KNOWN.get(name);
+    if (range == null) {
+      throw new PolicyError(
+          1,
+          "unknown setting; known are "
+              + String.join(", ", KNOWN.keySet().stream().sorted().toList()));
+    }
+    return range;
+  }
+
+  private Policy policy() {
+    Policy d = Policy.DEFAULT;
+    int min = values.getOrDefault("pool_min", (double) d.poolMin()).intValue();
+    int max = values.getOrDefault("pool_max", (double) d.poolMax()).intValue();
+    checkBounds("pool_min", min, max);
+    Map<String, Policy.PoolBounds> pools = new HashMap<>();
+    for (String target : values.keySet()) {
+      if (target.startsWith("pool/")) {
+        String type = target.substring(5, target.lastIndexOf('/'));
+        int typeMin = values.getOrDefault("pool/" + type + "/min", (double) min).intValue();
+        int typeMax = values.getOrDefault("pool/" + type + "/max", (double) max).intValue();
+        if (pools.put(type, new Policy.PoolBounds(typeMin, typeMax)) == null) {
+          checkBounds("pool \"" + type + "\" min", typeMin, typeMax);
+        }
+      }
+    }
+    return new Policy(
+        values.getOrDefault("scan_s", d.scanS()),
+        values.getOrDefault("backoff_s", d.backoffS()),
+        values.getOrDefault("idle_s", d.idleS()),
+        min,
+        max,
+        values.getOrDefault("drain_s", d.drainS()),
+        Map.copyOf(pools));
+  }
+
+  private void checkBounds(String field, int min, int max) {
+    if (min > max) {
+      problems.add(
+          new Problem(file, 0, field, "the minimum " + min + " is above the maximum " + max));
+    }
+  }
+}
--- a/src/main/java/org/ploverspindle/settings/SettingsFile.java
+++ b/src/main/java/org/ploverspindle/settings/SettingsFile.java
@@ -256,14 +256,20 @@
     return new Address(m.group(1), Integer.parseInt(m.group(2)));
   }
 
-  /** The line is found by the field's last name: the first place where it is set. */
+  /** The line is the first one that sets the field below its table's header, or the header's. */
   private void report(String field, String message) {
-    Pattern set =
-        Pattern.compile("\\s*(\\[\\[?[\\w.]*)?\\b" + Pattern.quote(last(field)) + "\\b.*");
+    String table = field.contains(".") ? field.substring(0, field.lastIndexOf('.')) : "";
+    Pattern header = Pattern.compile("\\s*\\[\\[?\\s*" + Pattern.quote(table) + "\\s*]]?.*");
+    Pattern set = Pattern.compile("\\s*" + Pattern.quote(last(field)) + "\\s*=.*");
     int line = 0;
-    for (int i = 0; i < lines.size() && line == 0; i++) {
-      if (set.matcher(lines.get(i)).matches()) {
+    boolean inTable = table.isEmpty();
+    for (int i = 0; i < lines.size(); i++) {
+      if (lines.get(i).stripLeading().startsWith("[")) {
+        inTable = header.matcher(lines.get(i)).matches();
+        line = inTable && line == 0 ? i + 1 : line;
+      } else if (inTable && set.matcher(lines.get(i)).matches()) {
         line = i + 1;
+        break;
       }
     }
     problems.add(new Problem(file, line, field, message));
--- /dev/null
+++ b/src/test/java/org/ploverspindle/front/DoorTest.java
@@ -0,0 +1,157 @@
+package org.ploverspindle.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.HttpURLConnection;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.loop.EventLoop;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.settings.Address;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The door over real sockets on loopback; what lies behind it is a plain echo. */
+class DoorTest {
+  private static final class Echo implements Door.Desk {
+    @Override
+    public void submit(byte[] body, Consumer<Answer> then) {
+      then.accept(Answer.of(201, Cbor.map().put("size", body.length)));
+    }
+
+    @Override
+    public void poll(String uid, Consumer<Answer> then) {
+      then.accept(Answer.of(200, Cbor.map().put("uid", uid)));
+    }
+
+    @Override
+    public void withdraw(String uid, Consumer<Answer> then) {
+      then.accept(Answer.later(503, "later", 3));
+    }
+
+    @Override
+    public void checkin(byte[] body, Consumer<Answer> then) {
+      then.accept(Answer.elsewhere("n2"));
+    }
+
+    @Override
+    public void status(Consumer<Answer> then) {
+      then.accept(Answer.text("fine"));
+    }
+  }
+
+  private EventLoop loop;
+  private XnioWorker worker;
+  private Door door;
+  private int port;
+  private volatile boolean ready = true;
+
+  @BeforeEach
+  void open() throws Exception {
+    try (ServerSocket free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    loop = new EventLoop();
+    loop.start();
+    worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    door = new Door(loop, worker, new Address("127.0.0.1", port), 100, new Echo(), () -> ready);
+    door.open();
+  }
+
+  @AfterEach
+  void close() {
+    door.close();
+    loop.close();
+    worker.shutdownNow();
+  }
+
+  private HttpURLConnection ask(String method, String path, byte[] body) throws Exception {
+    HttpURLConnection c =
+        (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+    c.setRequestMethod(method);
+    c.setReadTimeout(20_000);
+    if (body.length > 0) {
+      c.setDoOutput(true);
+      c.setFixedLengthStreamingMode(body.length);
+      try (OutputStream out = c.getOutputStream()) {
+        out.write(body);
+      }
+    }
+    return c;
+  }
+
+  private int status(String method, String path) throws Exception {
+    return ask(method, path, new byte[0]).getResponseCode();
+  }
+
+  @Test
+  void routesByPathAndMethod() throws Exception {
+    assertEquals(200, status("GET", "/submissions/run-1"));
+    assertEquals(200, status("GET", "/status"));
+    assertEquals(404, status("GET", "/nothing"));
+    assertEquals(404, status("GET", "/submissions/run-1/other"));
+    assertEquals(405, status("DELETE", "/submissions/run-1"));
+    assertEquals(405, status("GET", "/checkin"));
+    HttpURLConnection submitted = ask("POST", "/submissions", new byte[60_000]);
+    assertEquals(201, submitted.getResponseCode());
+    try (InputStream in = submitted.getInputStream()) {
+      ObjectNode body = Cbor.readMap(in.readAllBytes()).orElseThrow();
+      assertEquals(60_000, body.path("size").asInt());
+    }
+  }
+
+  @Test
+  void saysWhenToComeBack() throws Exception {
+    HttpURLConnection c = ask("POST", "/submissions/run-1/withdraw", new byte[] {1});
+    assertEquals(503, c.getResponseCode());
+    assertEquals("3", c.getHeaderField("Retry-After"));
+    assertEquals(421, ask("POST", "/checkin", new byte[] {1}).getResponseCode());
+  }
+
+  @Test
+  void readinessIsAsked() throws Exception {
+    assertEquals(200, status("GET", "/ready"));
+    ready = false;
+    assertEquals(503, status("GET", "/ready"));
+  }
+
+  @Test
+  void aBodyThatIsTooLargeIsRefusedBeforeItIsRead() throws Exception {
+    try (Socket s = new Socket("127.0.0.1", port)) {
+      s.setSoTimeout(20_000);
+      s.getOutputStream()
+          .write(
+              "POST /submissions HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
+      byte[] head = new byte[12];
+      assertEquals(12, s.getInputStream().readNBytes(head, 0, 12));
+      assertEquals("HTTP/1.1 413", new String(head, StandardCharsets.US_ASCII));
+    }
+  }
+
+  @Test
+  void aRequestThatIsHalfSentDoesNotHoldUpOthers() throws Exception {
+    try (Socket s = new Socket("127.0.0.1", port)) {
+      s.getOutputStream()
+          .write(
+              "POST /submissions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"
+                  .getBytes(StandardCharsets.US_ASCII));
+      for (int i = 0; i < 5; i++) {
+        assertEquals(200, status("GET", "/submissions/run-1"));
+      }
+    }
+    assertTrue(ready);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
@@ -0,0 +1,96 @@
+package org.ploverspindle.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.SpecRecord;
+
+class SubmissionCodecTest {
+  private static final String GOOD =
+      """
+      {"uid":"run-000412","jobclass":"train","owner":"vision","shape":"batch","urgency":"high",
+       "pieces":16,"cores":8.0,"accelerators":1.0,"mem_gb":64.0,"bundle":"img-07","image_gb":6.2,
+       "flavours":["g8"],"site":null,"one_zone":true,"apart":false,"loaners":true,
+       "expected_s":240.0,"save_every_s":30.0,"save_cost_s":4.0,"due_s":900.0}
+      """;
+
+  private static ObjectNode good() throws Exception {
+    return (ObjectNode) new ObjectMapper().readTree(GOOD);
+  }
+
+  @Test
+  void readsTheProtocolsExampleAndItsRecordKeepsAll() throws Exception {
+    JobSpec spec = SubmissionCodec.decode(good());
+    assertEquals(16, spec.tasks());
+    assertEquals(Shape.BATCH, spec.shape());
+    assertEquals(Optional.empty(), spec.zone());
+    JsonNode stored = Cbor.readMap(Cbor.write(new SpecRecord(spec, 77, 80).encode())).orElseThrow();
+    assertEquals(
+        Optional.of(new SpecRecord(spec, 77, 80)), SpecRecord.decode("run-000412", stored));
+  }
+
+  @Test
+  void whatMayBeNullMayBeLeftOut() throws Exception {
+    ObjectNode body = good();
+    body.remove("site");
+    body.remove("due_s");
+    body.remove("flavours");
+    JobSpec spec = SubmissionCodec.decode(body);
+    assertEquals(Optional.empty(), spec.types());
+    assertEquals(false, spec.dueS().isPresent());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "uid|\"run 1\"",
+        "uid|\"run/1\"",
+        "uid|7",
+        "uid|null",
+        "pieces|0",
+        "pieces|100001",
+        "pieces|-1",
+        "pieces|2.5",
+        "pieces|\"3\"",
+        "cores|-1.0",
+        "cores|\"NaN\"",
+        "cores|null",
+        "mem_gb|1e999",
+        "shape|\"blob\"",
+        "urgency|3",
+        "one_zone|1",
+        "flavours|\"g8\"",
+        "flavours|[3]",
+        "site|5",
+        "due_s|-3",
+        "owner|\"\"",
+        "expected_s|null",
+        "loaners|null"
+      })
+  void refusesWhatIsInvalid(String field, String value) throws Exception {
+    ObjectNode body = good();
+    JsonNode node =
+        value.equals("1e999")
+            ? Cbor.map().numberNode(Double.POSITIVE_INFINITY)
+            : new ObjectMapper().readTree(value);
+    body.set(field, node);
+    assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.decode(body));
+  }
+
+  @Test
+  void nanIsNoAmount() throws Exception {
+    ObjectNode body = good().put("cores", Double.NaN);
+    assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.decode(body));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/policy/PolicyFileTest.java
@@ -0,0 +1,91 @@
+package org.ploverspindle.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ploverspindle.settings.InvalidSettings;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.settings.SettingsFile;
+
+class PolicyFileTest {
+  private static Settings settings() throws Exception {
+    try (InputStream in = PolicyFileTest.class.getResourceAsStream("/rehearsal.toml")) {
+      String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+      return SettingsFile.parse("s.toml", text);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "2 + 3 * 4 | 14",
+        "(2 + 3) * 4 | 20",
+        "10 - 2 - 3 | 5",
+        "--6 / 2 | 3",
+        "max(1, lease_s, 7) | 10",
+        "if report_s <= 1 then 5 else 6 | 5",
+        "if nodes > 1 then 5 else if zones == 1 then 8 else 9 | 8",
+      })
+  void evaluates(String expression, double value) throws Exception {
+    assertEquals(value, PolicyFile.parse("p", "idle_s = " + expression, settings()).idleS());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "idle_s = 1 +| expected a value",
+        "idle_s = lease_z| unknown name \"lease_z\"",
+        "idle_s = lease_s / 0| division by zero",
+        "idle_s = 1 < 2| a comparison is no amount",
+        "idle_s = if 1 then 2 else 3| a comparison is needed",
+        "idle_s = if 1 < 2 then 3 else nope| unknown name \"nope\"",
+        "idle_s = 0| must be from 1.0",
+        "pool_min = 1.5| must be a whole number",
+        "idle_z = 3| unknown setting",
+        "idle_s = 3 4| unexpected 4",
+        "idle_s = mean(1, 2)| unknown function",
+        "idle_s = 3 $| unexpected \"$\"",
+        "pool \"x\" middle = 3| expected: pool",
+        "pool \"x\" min = 2000| above the maximum",
+      })
+  void refuses(String line, String message) throws Exception {
+    Settings settings = settings();
+    InvalidSettings e =
+        assertThrows(InvalidSettings.class, () -> PolicyFile.parse("p", line, settings));
+    assertTrue(e.getMessage().contains(message), e.getMessage());
+  }
+
+  @Test
+  void everyProblemIsToldWithItsLine() throws Exception {
+    Settings settings = settings();
+    InvalidSettings e =
+        assertThrows(
+            InvalidSettings.class,
+            () -> PolicyFile.parse("p", "# a\nscan_s = x\nidle_s = 5\nidle_s = 6\n", settings));
+    assertEquals(2, e.problems().size());
+    assertEquals(2, e.problems().get(0).line());
+    assertEquals(4, e.problems().get(1).line());
+  }
+
+  @Test
+  void deepNestingIsRefusedAndNotFollowed() throws Exception {
+    Settings settings = settings();
+    String deep = "idle_s = " + "(".repeat(5_000) + "1" + ")".repeat(5_000);
+    assertThrows(InvalidSettings.class, () -> PolicyFile.parse("p", deep, settings));
+  }
+
+  @Test
+  void poolsOfATypeStandBesideTheCommonBounds() throws Exception {
+    Policy p = PolicyFile.parse("p", "pool_max = 9\npool \"a-1\" min = 2", settings());
+    assertEquals(new Policy.PoolBounds(2, 9), p.pool("a-1"));
+    assertEquals(new Policy.PoolBounds(0, 9), p.pool("b"));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/settings/SettingsFileTest.java
@@ -0,0 +1,64 @@
+package org.ploverspindle.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SettingsFileTest {
+  public static String sample() throws IOException {
+    try (var in = SettingsFileTest.class.getResourceAsStream("/rehearsal.toml")) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private static List<String> problems(String text) {
+    InvalidSettings e =
+        assertThrows(InvalidSettings.class, () -> SettingsFile.parse("s.toml", text));
+    return e.problems().stream().map(Problem::toString).toList();
+  }
+
+  @Test
+  void readsWhatThePlatformHandsOverAndIgnoresTheRest() throws Exception {
+    Settings s = SettingsFile.parse("s.toml", "novelty = 3\n" + sample());
+    assertEquals("rehearsal", s.member());
+    assertEquals(10.0, s.workers().leaseS());
+    assertEquals(1, s.nodes());
+    assertEquals(8192, s.stateLimits().valueBytes());
+  }
+
+  @Test
+  void namesEveryProblemWithItsLine() throws Exception {
+    String bad =
+        sample()
+            .replace("report_s = 1.0", "report_s = -1.0")
+            .replace("list_lag_s = 1.0", "")
+            .replace("front = \"127.0.0.1:0\"", "front = \"localhost:80\"");
+    List<String> problems = problems(bad);
+    assertEquals(3, problems.size(), problems.toString());
+    assertTrue(problems.get(0).startsWith("s.toml:4: front: "), problems.get(0));
+    assertTrue(problems.get(1).contains("params.workers.report_s: must be a number"));
+    assertTrue(problems.get(2).endsWith("params.cloud.list_lag_s: is missing"));
+  }
+
+  @Test
+  void aMissingTableIsNamedOnce() throws Exception {
+    List<String> problems = problems(sample().replace("[params.state]", "[params.other]"));
+    assertEquals(List.of("s.toml:11: params.state: this table is missing"), problems);
+  }
+
+  @Test
+  void whatIsNotTomlIsRefusedWithItsLine() {
+    assertTrue(problems("a = 1\nb = = 2\n").get(0).startsWith("s.toml:2: "));
+  }
+
+  @Test
+  void aLeaseThatOutlivesACancellationIsRefused() throws Exception {
+    List<String> problems = problems(sample().replace("cancel_s = 40.0", "cancel_s = 9.0"));
+    assertTrue(problems.get(0).contains("params.workers.cancel_s"), problems.toString());
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -52,7 +52,7 @@
     this.random = new Random(seed);
     this.nodes = nodes;
     this.settings = settings("n0", nodes, zones);
-    this.policy = new Policy(3, 8, 15, 0, 100, 20, 1.0, Map.of());
+    this.policy = new Policy(3, 8, 15, 0, 100, 20, Map.of());
     this.network = new SimNetwork(clock, random);
     this.state = new SimState(clock);
     this.checker = new Checker(clock, settings);
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sizing/AdaptiveSizingTest.java
@@ -0,0 +1,111 @@
+package org.ploverspindle.sizing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ploverspindle.sizing.AdaptiveSizing.Bounds;
+import org.ploverspindle.sizing.AdaptiveSizing.Group;
+
+class AdaptiveSizingTest {
+  private static List<Bounds> bounds(int poolMin, int poolMax, String held, String backoff) {
+    List<Group> groups = new ArrayList<>();
+    String[] counts = held.split(" ");
+    for (int i = 0; i < counts.length; i++) {
+      groups.add(new Group(Integer.parseInt(counts[i]), backoff.charAt(i) == 'b'));
+    }
+    return AdaptiveSizing.bounds(poolMin, poolMax, groups);
+  }
+
+  private static String show(List<Bounds> bounds) {
+    StringBuilder s = new StringBuilder();
+    bounds.forEach(
+        b -> s.append(s.isEmpty() ? "" : " ").append(b.min()).append(':').append(b.max()));
+    return s.toString();
+  }
+
+  /**
+   * GEP-24 3.1, pool 3:4 over three zones. Scan 4 of the backoff follows the formula, not the
+   * table.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "good 0, 0 0 0, ..., 1:4 1:4 1:4",
+    "good 1, 1 0 0, ..., 1:4 1:3 1:3",
+    "good 2, 2 1 0, ..., 1:3 1:2 1:1",
+    "good 3, 2 1 1, ..., 1:2 1:1 1:1",
+    "backoff 1, 0 1 0, b.., 0:3 2:4 1:3",
+    "backoff 2, 0 2 0, b.., 0:2 2:4 1:2",
+    "backoff 3, 0 2 1, b.., 0:1 2:3 1:2",
+    "backoff 4, 0 2 2, b.., 0:0 2:2 1:2",
+  })
+  void followsThePublishedTables(String name, String held, String backoff, String expected) {
+    assertEquals(expected, show(bounds(3, 4, held, backoff)));
+  }
+
+  @Test
+  void earlierZonesTakeTheRemainder() {
+    assertEquals("2:5 1:5", show(bounds(3, 5, "0 0", "..")));
+  }
+
+  @Test
+  void withAllZonesInBackoffNobodyOwesAMinimum() {
+    assertEquals("0:4 0:4 0:4", show(bounds(3, 4, "0 0 0", "bbb")));
+  }
+
+  @Test
+  void aPoolThatHoldsTooMuchMayRentNothing() {
+    assertEquals("1:0 1:0", show(bounds(2, 2, "3 2", "..")));
+  }
+
+  @Test
+  void agreesWithAPlainModel() {
+    Random random = new Random(5);
+    for (int round = 0; round < 500; round++) {
+      int zones = 1 + random.nextInt(5);
+      int min = random.nextInt(8);
+      int max = min + random.nextInt(8);
+      List<Group> groups = new ArrayList<>();
+      for (int i = 0; i < zones; i++) {
+        groups.add(new Group(random.nextInt(4), random.nextInt(3) == 0));
+      }
+      assertEquals(plain(min, max, groups), AdaptiveSizing.bounds(min, max, groups));
+    }
+  }
+
+  /**
+   * Deals the minimum out one machine at a time, then the backed-off zones' shares the same way.
+   */
+  private static List<Bounds> plain(int min, int max, List<Group> groups) {
+    int[] mins = new int[groups.size()];
+    for (int dealt = 0; dealt < min; dealt++) {
+      mins[dealt % groups.size()]++;
+    }
+    List<Integer> good = new ArrayList<>();
+    int owed = 0;
+    for (int i = 0; i < groups.size(); i++) {
+      if (groups.get(i).backedOff()) {
+        owed += mins[i];
+        mins[i] = 0;
+      } else {
+        good.add(i);
+      }
+    }
+    for (int dealt = 0; dealt < owed && !good.isEmpty(); dealt++) {
+      mins[good.get(dealt % good.size())]++;
+    }
+    List<Bounds> result = new ArrayList<>();
+    for (int i = 0; i < groups.size(); i++) {
+      int others = 0;
+      for (int j = 0; j < groups.size(); j++) {
+        others += j == i ? 0 : groups.get(j).held();
+      }
+      result.add(new Bounds(mins[i], Math.max(0, max - others)));
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/state/ProgressRecordTest.java
@@ -0,0 +1,65 @@
+package org.ploverspindle.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.ProgressRecord.Host;
+import org.ploverspindle.state.ProgressRecord.Live;
+
+class ProgressRecordTest {
+
+  @Test
+  void whatIsWrittenIsRead() {
+    Random random = new Random(3);
+    for (int round = 0; round < 200; round++) {
+      BitSet done = new BitSet();
+      List<Live> live = new ArrayList<>();
+      for (int task = 0; task < 60; task++) {
+        int fate = random.nextInt(3);
+        if (fate == 0) {
+          done.set(task);
+        } else if (fate == 1) {
+          Host h = new Host("i-" + random.nextInt(9), "t", "z", random.nextBoolean());
+          live.add(new Live(task, random.nextLong() >>> 2, h, random.nextInt(100)));
+        }
+      }
+      ProgressRecord record = new ProgressRecord(done, live, live.size());
+      byte[] stored = Cbor.write(record.encode());
+      assertEquals(Optional.of(record), ProgressRecord.decode(Cbor.readMap(stored).orElseThrow()));
+    }
+  }
+
+  @Test
+  void theLargestChunkFitsInAValue() {
+    for (int kb : new int[] {4, 8, 16}) {
+      List<Live> live = new ArrayList<>();
+      int chunk = ProgressRecord.chunkFor(kb * 1024);
+      for (int task = 0; task < chunk; task++) {
+        Host h = new Host("i-99" + task, "machine-type-16", "some-zone-a1", false);
+        live.add(new Live(99_000 + task, (1L << 40) + task, h, 1234));
+      }
+      int size = Cbor.jsonSize(new ProgressRecord(new BitSet(), live, chunk).encode());
+      assertTrue(size <= kb * 1024, size + " bytes for " + kb + " KiB");
+    }
+  }
+
+  @Test
+  void whatCannotBeReadIsNotGuessedAt() {
+    for (String live : List.of("1:2", "a:1:0:1", "1:1:7:1")) {
+      assertEquals(
+          Optional.empty(),
+          ProgressRecord.decode(Cbor.map().put("done", "").put("live", live)),
+          live);
+    }
+    assertEquals(
+        Optional.empty(), ProgressRecord.decode(Cbor.map().put("done", "5-2").put("live", "")));
+    assertEquals(Optional.empty(), ProgressRecord.decode(Cbor.map().put("done", 3)));
+  }
+}
