--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -65,22 +65,15 @@
     waiting.sort(
         Comparator.comparing((Job j) -> j.spec().urgency())
             .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
-            .thenComparingDouble(j -> slackS(j, wallMs))
+            .thenComparingDouble(j -> dueInS(j, wallMs))
             .thenComparing(Job::uid));
-    return waiting;
+    return new Triage(fleet, estimates, nowMs, wallMs).order(waiting);
   }
 
-  /**
-   * Seconds left before the job must run to be done when due; jobs without a due time come last.
-   */
-  public double slackS(Job job, long wallMs) {
+  /** Seconds until the job is due; jobs without a due time come last, the oldest first. */
+  static double dueInS(Job job, long wallMs) {
     double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
-    if (job.spec().dueS().isEmpty()) {
-      return 1e6 - waitedS;
-    }
-    double slack = job.spec().dueS().getAsDouble() - waitedS - estimates.runS(job);
-    // What is late already yields to what can still be done in time.
-    return slack < -estimates.runS(job) - 5 ? 1e5 - waitedS : slack;
+    return job.spec().dueS().orElse(1e6) - waitedS;
   }
 
   public void run(long nowMs, long wallMs) {
@@ -138,7 +131,9 @@
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
     for (Machine m : usable) {
-      if (!allows(job, m) || !job.perTask().fitsIn(m.free())) {
+      if (!allows(job, m)
+          || !job.perTask().fitsIn(m.free())
+          || m.failuresInRow() > 0 && !m.placements().isEmpty()) {
         continue;
       }
       double fetchS =
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -37,6 +37,7 @@
   private boolean draining;
   private boolean releasing;
   private int failuresInRow;
+  private long lastFailureMs;
   private long shunnedUntilMs = Long.MIN_VALUE / 2;
   private boolean listed;
 
@@ -221,11 +222,16 @@
   /** Shunned for a while, longer each time in a row; a try after that brings new evidence. */
   void taskFailed(String uid, long nowMs) {
     failuresInRow++;
+    lastFailureMs = nowMs;
     failedJobs.add(uid);
     shunnedUntilMs = nowMs + 10_000L * Math.min(8, failuresInRow);
   }
 
-  void taskCompleted() {
+  /** A completion clears the machine only if the task began after the last failure. */
+  void taskCompleted(long runningSinceMs) {
+    if (failuresInRow > 0 && runningSinceMs <= lastFailureMs) {
+      return;
+    }
     failuresInRow = 0;
     failedJobs.clear();
     shunnedUntilMs = Long.MIN_VALUE / 2;
@@ -246,6 +252,8 @@
         && !releasing
         && recalledAtMs < 0
         && nowMs >= shunnedUntilMs
+        // After failures one task at a time is the trial: a whole job there would fail whole.
+        && (failuresInRow == 0 || placements.isEmpty())
         && nowMs - lastReportMs <= silenceMs;
   }
 }
--- a/src/main/java/org/ploverspindle/workers/ReportDesk.java
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -210,7 +210,7 @@
     private void exited(Placement p, Report.Item item) {
       fleet.gone(p, nowMs);
       if (item.cause() == Report.Cause.DONE) {
-        machine.taskCompleted();
+        machine.taskCompleted(p.runningSinceMs());
         // Forgotten only once the completion is durable: until then the worker is its only record.
         listener.completed(p, nowMs);
         return;
