--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -65,15 +65,15 @@
     waiting.sort(
         Comparator.comparing((Job j) -> j.spec().urgency())
             .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
-            .thenComparingDouble(j -> dueInS(j, wallMs))
+            .thenComparingDouble(j -> slackS(j, wallMs))
             .thenComparing(Job::uid));
-    return new Triage(fleet, estimates, nowMs, wallMs).order(waiting);
+    return new Triage(this, fleet, estimates, nowMs, wallMs).order(waiting);
   }
 
-  /** Seconds until the job is due; jobs without a due time come last, the oldest first. */
-  static double dueInS(Job job, long wallMs) {
+  /** Seconds until the job must run to be done when due; those without a due time come last. */
+  double slackS(Job job, long wallMs) {
     double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
-    return job.spec().dueS().orElse(1e6) - waitedS;
+    return job.spec().dueS().orElse(1e6) - waitedS - estimates.runS(job);
   }
 
   public void run(long nowMs, long wallMs) {
