Triage by when cores come free; room kept for the next pressing job; quick returns when quiet

Cause: the mean rest of running work, mostly long essays, was taken as the wait before any start, so jobs stepped back that had time; and a class's later aim (1.5 times due) was given up with the first. At Kosice pressing jobs waited 25 s for a machine to boot, and after the last job machines stood idle for 60 s.

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -39,6 +39,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
   private static final int MAX_PER_RENTAL = 50;
   private static final int MAX_PER_RELEASE = 100;
+  private static final double QUIET_IDLE_S = 8;
 
   /** A type's machines of one kind in one zone. */
   record Group(int type, int zone, boolean spot) {}
@@ -48,6 +49,12 @@
     /** What to rent, given what may be rented and what is on its way. */
     List<Demand.Wanted> wanted(List<Demand.Offer> offers, List<Demand.Coming> coming);
 
+    /** True when jobs have stopped coming: idle machines wait for nobody. */
+    boolean quiet();
+
+    /** True when the idle machine is not needed as room for the next pressing job. */
+    boolean spare(Machine m);
+
     /** Tasks that went with a machine. */
     void lost(List<Placement> placements);
 
@@ -462,7 +469,12 @@
   }
 
   private boolean idle(Machine m, long now) {
-    return m.up() && m.empty() && now - m.emptySinceMs() >= policy.idleS() * 1000 && !m.releasing();
+    double waitS = host.quiet() ? Math.min(policy.idleS(), QUIET_IDLE_S) : policy.idleS();
+    return m.up()
+        && m.empty()
+        && now - m.emptySinceMs() >= waitS * 1000
+        && !m.releasing()
+        && host.spare(m);
   }
 
   /** Machines that are of no use any more, whatever the bounds say. */
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,6 +1,7 @@
 package org.ploverspindle.leadership;
 
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,9 +14,12 @@
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobTable;
 import org.ploverspindle.jobs.ProgressWriter;
+import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.placement.Arrivals;
 import org.ploverspindle.placement.Demand;
 import org.ploverspindle.placement.Estimates;
 import org.ploverspindle.placement.Placer;
@@ -69,6 +73,7 @@
   private final JobTable jobs;
   private final Fleet fleet;
   private final Estimates estimates = new Estimates();
+  private final Arrivals arrivals = new Arrivals();
   private final ProgressWriter writer;
   private final ReportDesk desk;
   private final Placer placer;
@@ -115,6 +120,7 @@
             teams,
             estimates,
             this::nextAttempt,
+            laterAims(with.settings()),
             Math.round(with.settings().workers().reportS() * 2_200 + 1_500),
             this::placed);
     this.rentals =
@@ -132,8 +138,22 @@
             new RentalHost());
   }
 
+  private static Map<String, Double> laterAims(Settings settings) {
+    Map<String, Double> aims = new HashMap<>();
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("deadline") && o.times() > 1) {
+        aims.merge(o.jobClass(), o.times(), Math::max);
+      }
+    }
+    return aims;
+  }
+
   public void start() {
     long now = with.scheduler().nowMs();
+    with.replica().under(Keys.SPECS).values().stream()
+        .mapToLong(e -> SpecRecord.acceptedWallMs(e.value()))
+        .sorted()
+        .forEach(arrivals::came);
     for (Job job : jobs.loadAll()) {
       rebuild(job, now);
     }
@@ -231,13 +251,26 @@
       return;
     }
     if (key.startsWith(Keys.SPECS)) {
-      jobs.add(entry.get());
+      jobs.add(entry.get()).ifPresent(this::arrived);
       planPlacing();
     } else if (key.startsWith(Keys.CANCELS)) {
       jobs.get(key.substring(Keys.CANCELS.length())).ifPresent(this::cancel);
     }
   }
 
+  private void arrived(Job job) {
+    arrivals.came(job.acceptedWallMs());
+    Resources whole =
+        new Resources(
+            job.perTask().cores() * job.spec().tasks(),
+            job.perTask().accelerators() * job.spec().tasks(),
+            0);
+    if (job.spec().urgency().compareTo(Urgency.HIGH) <= 0
+        || teams.guarantees(job.team(), whole) && job.spec().dueS().isEmpty()) {
+      arrivals.pressing(job);
+    }
+  }
+
   private void cancel(Job job) {
     if (job.cancelled()) {
       return;
@@ -513,7 +546,42 @@
       long wall = with.scheduler().wallMs();
       List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
       return new Demand(with.catalogue(), teams, estimates, with.policy().drainS())
-          .plan(placer.waitingJobs(now, wall), jobs.all(), usable, coming, offers, now, wall);
+          .plan(
+              placer.waitingJobs(now, wall),
+              jobs.all(),
+              usable,
+              coming,
+              offers,
+              expected(),
+              now,
+              wall);
+    }
+
+    @Override
+    public boolean quiet() {
+      return arrivals.over(with.scheduler().wallMs());
+    }
+
+    /** Without its room the next pressing job would wait for a machine to boot. */
+    @Override
+    public boolean spare(Machine m) {
+      Optional<Job> next = expected();
+      if (next.isEmpty() || !Placer.allows(next.get(), m)) {
+        return true;
+      }
+      int slots = 0;
+      for (Machine other : fleet.all()) {
+        if (other != m
+            && other.usable(with.scheduler().nowMs(), 60_000)
+            && Placer.allows(next.get(), other)) {
+          slots += other.free().times(next.get().perTask());
+        }
+      }
+      return slots >= next.get().spec().tasks();
+    }
+
+    private Optional<Job> expected() {
+      return quiet() ? Optional.empty() : arrivals.typicalPressing();
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/ploverspindle/placement/Arrivals.java
@@ -0,0 +1,62 @@
+package org.ploverspindle.placement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.ploverspindle.jobs.Job;
+
+/**
+ * What has come lately: how often jobs come, and how large the pressing ones are. Times are the
+ * accepting nodes' times of day: good enough for a rate, and nothing else rests on them.
+ */
+public final class Arrivals {
+  private static final int KEPT = 24;
+  private static final int PRESSING_KEPT = 12;
+
+  /** After this many mean gaps without a job nobody is thought to come any more. */
+  private static final double GAPS = 7;
+
+  private static final long LEAST_QUIET_MS = 12_000;
+
+  private final Deque<Long> times = new ArrayDeque<>();
+  private final Deque<Job> pressing = new ArrayDeque<>();
+
+  public void came(long acceptedWallMs) {
+    times.addLast(acceptedWallMs);
+    if (times.size() > KEPT) {
+      times.removeFirst();
+    }
+  }
+
+  /** A job that should start at once: of high urgency, or covered by a guarantee. */
+  public void pressing(Job job) {
+    pressing.addLast(job);
+    if (pressing.size() > PRESSING_KEPT) {
+      pressing.removeFirst();
+    }
+  }
+
+  /** True when jobs came before and have stopped coming. */
+  public boolean over(long wallMs) {
+    if (times.size() < 4) {
+      return false;
+    }
+    long first = times.stream().mapToLong(Long::longValue).min().orElseThrow();
+    long last = times.stream().mapToLong(Long::longValue).max().orElseThrow();
+    double gapMs = (last - first) / (double) (times.size() - 1);
+    return wallMs - last > Math.max(LEAST_QUIET_MS, GAPS * gapMs);
+  }
+
+  /** A pressing job of middling size among the last ones; the next is thought to be like it. */
+  public Optional<Job> typicalPressing() {
+    if (pressing.size() < 3) {
+      return Optional.empty();
+    }
+    List<Job> bySize = new ArrayList<>(pressing);
+    bySize.sort(Comparator.comparingLong(j -> j.perTask().cores() * j.spec().tasks()));
+    return Optional.of(bySize.get(bySize.size() * 3 / 5));
+  }
+}
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -72,6 +72,7 @@
   /**
    * @param waiting jobs with waiting tasks, the most pressing first
    * @param machines machines that are up and take tasks
+   * @param expected a job like the next pressing one, which room is kept for
    */
   public List<Wanted> plan(
       List<Job> waiting,
@@ -79,6 +80,7 @@
       List<Machine> machines,
       List<Coming> comingNow,
       List<Offer> offersNow,
+      Optional<Job> expected,
       long nowMs,
       long wallMs) {
     for (Coming c : comingNow) {
@@ -96,6 +98,7 @@
     for (Job job : waiting) {
       serve(job, machines);
     }
+    expected.ifPresent(job -> keepRoom(job, machines));
     List<Wanted> wanted = new ArrayList<>();
     for (OpenOffer o : offers) {
       if (o.taken > 0) {
@@ -194,6 +197,27 @@
     }
   }
 
+  /** A pressing job can't wait for a machine to boot: it needs room that is there when it comes. */
+  private void keepRoom(Job job, List<Machine> machines) {
+    int need = job.spec().tasks();
+    for (Machine m : machines) {
+      if (Placer.allows(job, m)) {
+        need -= m.free().times(job.perTask());
+      }
+    }
+    for (Virtual v : coming) {
+      if (need > 0 && allowed(job, v.what.type(), v.what.zone(), v.what.spot())) {
+        need -= fill(v, job, need);
+      }
+    }
+    Optional<OpenOffer> offer = need > 0 ? cheapest(job, need) : Optional.empty();
+    if (offer.isPresent()) {
+      OpenOffer o = offer.get();
+      int slots = catalogue.type(o.offer.type()).size().times(job.perTask());
+      o.taken += Math.min(o.room(), (need + slots - 1) / slots);
+    }
+  }
+
   private static int fill(Virtual v, Job job, int need) {
     int n = Math.min(need, v.free.times(job.perTask()));
     for (int i = 0; i < n; i++) {
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.jobs.Job;
@@ -26,15 +28,23 @@
   /** How many cores of room a second of fetching is worth when a machine is chosen. */
   private static final double CORES_PER_FETCH_S = 2;
 
+  /** Part of its estimate by which a task may well be shorter. */
+  private static final double DOUBT = 0.4;
+
   private final Catalogue catalogue;
   private final Fleet fleet;
   private final JobTable jobs;
   private final TeamUsage teams;
   private final Estimates estimates;
   private final LongSupplier nextAttempt;
+  private final Map<String, Double> laterAims;
   private final long silenceMs;
   private final Listener listener;
 
+  /**
+   * @param laterAims for classes whose aims allow some jobs a multiple of their due time, that
+   *     multiple
+   */
   public Placer(
       Catalogue catalogue,
       Fleet fleet,
@@ -42,6 +52,7 @@
       TeamUsage teams,
       Estimates estimates,
       LongSupplier nextAttempt,
+      Map<String, Double> laterAims,
       long silenceMs,
       Listener listener) {
     this.catalogue = catalogue;
@@ -50,6 +61,7 @@
     this.teams = teams;
     this.estimates = estimates;
     this.nextAttempt = nextAttempt;
+    this.laterAims = laterAims;
     this.silenceMs = silenceMs;
     this.listener = listener;
   }
@@ -65,7 +77,7 @@
     waiting.sort(
         Comparator.comparing((Job j) -> j.spec().urgency())
             .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
-            .thenComparingDouble(j -> slackS(j, wallMs))
+            .thenComparingDouble(j -> openSlackS(j, wallMs).orElse(Double.MAX_VALUE))
             .thenComparing(Job::uid));
     return new Triage(this, fleet, estimates, nowMs, wallMs).order(waiting);
   }
@@ -76,6 +88,22 @@
     return job.spec().dueS().orElse(1e6) - waitedS - estimates.runS(job);
   }
 
+  /**
+   * Slack to the first aim that can still be met: the due time, or the multiple of it that the
+   * class's aims also name. Empty when neither can be. Estimates are wrong by half, so a job that
+   * is a little late by its estimate is not given up.
+   */
+  OptionalDouble openSlackS(Job job, long wallMs) {
+    double least = -(DOUBT * estimates.runS(job) + 2);
+    double slackS = slackS(job, wallMs);
+    if (slackS >= least) {
+      return OptionalDouble.of(slackS);
+    }
+    double times = laterAims.getOrDefault(job.spec().jobClass(), 1.0);
+    double laterS = slackS + (times - 1) * job.spec().dueS().orElse(0);
+    return laterS >= least && times > 1 ? OptionalDouble.of(laterS) : OptionalDouble.empty();
+  }
+
   public void run(long nowMs, long wallMs) {
     List<Machine> usable = new ArrayList<>();
     for (Machine m : fleet.all()) {
@@ -150,7 +178,7 @@
   }
 
   /** Type, kind and zone as the job demands, given where its other tasks are. */
-  static boolean allows(Job job, Machine m) {
+  public static boolean allows(Job job, Machine m) {
     return job.types().get(m.type())
         && (job.spec().spot() || !m.spot())
         && job.zoneAllowed(m.zone());
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
@@ -17,34 +18,32 @@
  */
 final class Triage {
   /** Estimates are wrong by half: only what is late by a good part steps back. */
-  private static final double CERTAINTY = 0.75;
+  private static final double CERTAINTY = 0.6;
 
-  private static final double SPARE_S = 3;
+  private static final double SPARE_S = 6;
 
   private final Placer placer;
   private final Estimates estimates;
   private final long nowMs;
   private final long wallMs;
-  private final double cores;
-  private final double runningS;
+  private final List<Busy> busy = new ArrayList<>();
+
+  /** Cores that come free after so many seconds. */
+  private record Busy(double cores, double forS) {}
 
   Triage(Placer placer, Fleet fleet, Estimates estimates, long nowMs, long wallMs) {
     this.placer = placer;
     this.estimates = estimates;
     this.nowMs = nowMs;
     this.wallMs = wallMs;
-    double allCores = 0;
-    double rest = 0;
     for (Machine m : fleet.all()) {
       if (m.usable(nowMs, 60_000)) {
-        allCores += m.size().cores();
+        busy.add(new Busy(m.free().cores(), 0));
         for (Placement p : m.placements()) {
-          rest += restS(p) * p.job().perTask().cores();
+          busy.add(new Busy(p.job().perTask().cores(), restS(p)));
         }
       }
     }
-    cores = Math.max(1, allCores);
-    runningS = rest / cores;
   }
 
   private double restS(Placement p) {
@@ -53,15 +52,24 @@
     return Math.max(runS * 0.2, runS - ranS);
   }
 
-  /** How long all cores would work on the job's waiting tasks. */
-  private double workS(Job job) {
-    return job.waiting().cardinality() * job.perTask().cores() * estimates.runS(job) / cores;
+  /** Work that the machines can take on within the time, beside what they run now. */
+  private double capacity(double withinS) {
+    double sum = 0;
+    for (Busy b : busy) {
+      sum += b.cores() * Math.max(0, withinS - b.forS());
+    }
+    return sum;
+  }
+
+  /** Core seconds of the job's waiting tasks. */
+  private double work(Job job) {
+    return job.waiting().cardinality() * job.perTask().cores() * estimates.runS(job);
   }
 
   /** The same jobs; within an urgency, those that can be in time come first. */
   List<Job> order(List<Job> byStart) {
     List<Job> result = new ArrayList<>(byStart.size());
-    double beforeS = runningS;
+    double before = 0;
     for (int from = 0; from < byStart.size(); ) {
       int to = from;
       while (to < byStart.size()
@@ -70,35 +78,36 @@
       }
       List<Job> inTime = new ArrayList<>();
       List<Job> late = new ArrayList<>();
-      double sumS = beforeS;
+      double sum = before;
       for (Job job : byStart.subList(from, to)) {
-        double slackS = placer.slackS(job, wallMs);
-        if (slackS < 0) {
+        OptionalDouble slackS = placer.openSlackS(job, wallMs);
+        if (slackS.isEmpty()) {
           // It can't be in time even alone: nobody else should step back for it.
           late.add(job);
           continue;
         }
         inTime.add(job);
-        sumS += workS(job);
+        sum += work(job);
+        double withinSlack = capacity(Math.max(0, slackS.getAsDouble()) + SPARE_S);
         // Its last tasks start about when the work before them is through. Doubt is in its favour.
-        while (!inTime.isEmpty() && (sumS - workS(job)) * CERTAINTY > slackS + SPARE_S) {
+        while (!inTime.isEmpty() && (sum - work(job)) * CERTAINTY > withinSlack) {
           Job back = largest(inTime);
-          if (workS(back) < workS(job) * 1.5) {
+          if (work(back) < work(job) * 1.5) {
             back = job;
           }
           inTime.remove(back);
           late.add(back);
-          sumS -= workS(back);
+          sum -= work(back);
           if (back == job) {
             break;
           }
         }
       }
-      late.sort(Comparator.comparingDouble(this::workS).thenComparing(Job::uid));
+      late.sort(Comparator.comparingDouble(this::work).thenComparing(Job::uid));
       result.addAll(inTime);
       result.addAll(late);
       for (Job job : byStart.subList(from, to)) {
-        beforeS += workS(job);
+        before += work(job);
       }
       from = to;
     }
@@ -106,6 +115,6 @@
   }
 
   private Job largest(List<Job> jobs) {
-    return jobs.stream().max(Comparator.comparingDouble(this::workS)).orElseThrow();
+    return jobs.stream().max(Comparator.comparingDouble(this::work)).orElseThrow();
   }
 }
--- a/src/main/java/org/ploverspindle/state/SpecRecord.java
+++ b/src/main/java/org/ploverspindle/state/SpecRecord.java
@@ -44,6 +44,11 @@
     return v;
   }
 
+  /** The time of acceptance alone, for looking at many records. */
+  public static long acceptedWallMs(JsonNode v) {
+    return v.path("at").asLong();
+  }
+
   /** Empty when the record can't be read. */
   public static Optional<SpecRecord> decode(String uid, JsonNode v) {
     try {
@@ -82,7 +87,7 @@
               v.path("due").isNumber()
                   ? OptionalDouble.of(v.path("due").asDouble())
                   : OptionalDouble.empty());
-      return Optional.of(new SpecRecord(spec, v.path("at").asLong(), chunk));
+      return Optional.of(new SpecRecord(spec, acceptedWallMs(v), chunk));
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
