--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -37,7 +37,6 @@
                     .set(Options.WORKER_TASK_CORE_THREADS, 0)
                     .set(Options.WORKER_TASK_MAX_THREADS, 1)
                     .set(Options.TCP_NODELAY, true)
-                    .set(Options.STACK_SIZE, 256L * 1024)
                     .getMap());
     ByteBufferPool buffers = new DefaultByteBufferPool(true, 4096, 64, 2);
     controller =
