--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -79,7 +79,7 @@
             .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
             .thenComparingDouble(j -> openSlackS(j, wallMs).orElse(Double.MAX_VALUE))
             .thenComparing(Job::uid));
-    return new Triage(this, fleet, estimates, nowMs, wallMs).order(waiting);
+    return new Triage(j -> openSlackS(j, wallMs), fleet, estimates, nowMs).order(waiting);
   }
 
   /** Seconds until the job must run to be done when due; those without a due time come last. */
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.function.Function;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
@@ -22,20 +23,18 @@
 
   private static final double SPARE_S = 6;
 
-  private final Placer placer;
+  private final Function<Job, OptionalDouble> openSlackS;
   private final Estimates estimates;
   private final long nowMs;
-  private final long wallMs;
   private final List<Busy> busy = new ArrayList<>();
 
   /** Cores that come free after so many seconds. */
   private record Busy(double cores, double forS) {}
 
-  Triage(Placer placer, Fleet fleet, Estimates estimates, long nowMs, long wallMs) {
-    this.placer = placer;
+  Triage(Function<Job, OptionalDouble> openSlackS, Fleet fleet, Estimates estimates, long nowMs) {
+    this.openSlackS = openSlackS;
     this.estimates = estimates;
     this.nowMs = nowMs;
-    this.wallMs = wallMs;
     for (Machine m : fleet.all()) {
       if (m.usable(nowMs, 60_000)) {
         busy.add(new Busy(m.free().cores(), 0));
@@ -80,7 +79,7 @@
       List<Job> late = new ArrayList<>();
       double sum = before;
       for (Job job : byStart.subList(from, to)) {
-        OptionalDouble slackS = placer.openSlackS(job, wallMs);
+        OptionalDouble slackS = openSlackS.apply(job);
         if (slackS.isEmpty()) {
           // It can't be in time even alone: nobody else should step back for it.
           late.add(job);
--- /dev/null
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -0,0 +1,151 @@
+package org.ploverspindle.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.leadership.Timing;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+
+class TriageTest {
+  private static final long NOW = 10_000;
+
+  private static Job job(String uid, Urgency urgency, int tasks, double runS, double dueS) {
+    JobSpec spec =
+        new JobSpec(
+            uid,
+            "c",
+            "red",
+            Shape.BATCH,
+            urgency,
+            tasks,
+            4,
+            0,
+            1,
+            Optional.empty(),
+            Optional.empty(),
+            false,
+            false,
+            true,
+            "i",
+            1,
+            runS,
+            0,
+            0,
+            OptionalDouble.of(dueS));
+    return new Job(spec, 0, 80, 0, new BitSet(), -1, 1);
+  }
+
+  /** One machine of 16 cores, empty and under our token. */
+  private static Fleet fleet() {
+    Catalogue catalogue = new Catalogue(List.of("a"));
+    catalogue.update(
+        List.of(
+            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
+    TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
+    Term term = new Term(7, 1, 0);
+    Fleet fleet =
+        new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(3, 14, 39)), term);
+    ReportDesk desk =
+        new ReportDesk(
+            fleet,
+            term,
+            () -> true,
+            u -> Optional.empty(),
+            u -> Optional.empty(),
+            (j, t) -> false,
+            new ReportDesk.Listener() {
+              @Override
+              public void completed(org.ploverspindle.workers.Placement p, long nowMs) {}
+
+              @Override
+              public void ended(
+                  org.ploverspindle.workers.Placement p,
+                  Report.Cause cause,
+                  boolean saved,
+                  long nowMs) {}
+
+              @Override
+              public void completedUnplaced(Job job, int task) {}
+
+              @Override
+              public void moved(org.ploverspindle.workers.Placement p) {}
+            });
+    desk.take(
+        new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()), NOW);
+    return fleet;
+  }
+
+  private static List<String> order(Job... byStart) {
+    Function<Job, OptionalDouble> slack =
+        j -> {
+          double s = j.spec().dueS().orElseThrow() - j.spec().expectedS();
+          return s < 0 ? OptionalDouble.empty() : OptionalDouble.of(s);
+        };
+    return new Triage(slack, fleet(), new Estimates(), NOW)
+        .order(List.of(byStart)).stream().map(Job::uid).toList();
+  }
+
+  @Test
+  void withRoomForAllTheOrderStays() {
+    assertEquals(
+        List.of("run-1", "run-2"),
+        order(job("run-1", Urgency.NORMAL, 4, 10, 30), job("run-2", Urgency.NORMAL, 4, 10, 60)));
+  }
+
+  @Test
+  void theLargestStepsBackWhenItWouldMakeOthersLate() {
+    assertEquals(
+        List.of("run-2", "run-3", "run-1"),
+        order(
+            job("run-1", Urgency.NORMAL, 60, 10, 30),
+            job("run-2", Urgency.NORMAL, 4, 10, 32),
+            job("run-3", Urgency.NORMAL, 4, 10, 34)));
+  }
+
+  @Test
+  void whatCanNoLongerBeInTimeIsServedLastAndTheLeastWorkFirst() {
+    assertEquals(
+        List.of("run-3", "run-2", "run-1"),
+        order(
+            job("run-1", Urgency.NORMAL, 9, 50, 20),
+            job("run-2", Urgency.NORMAL, 2, 50, 20),
+            job("run-3", Urgency.NORMAL, 4, 10, 60)));
+  }
+
+  @Test
+  void aLowerUrgencyNeverGoesFirst() {
+    List<String> order =
+        order(job("run-1", Urgency.HIGH, 90, 50, 20), job("run-2", Urgency.NORMAL, 1, 1, 60));
+    assertEquals(List.of("run-1", "run-2"), order);
+  }
+
+  @Test
+  void arrivalsAreOverOnlyAfterALongPause() {
+    Arrivals arrivals = new Arrivals();
+    for (int i = 0; i < 10; i++) {
+      arrivals.came(1_000L * 4 * i);
+    }
+    assertFalse(arrivals.over(36_000 + 20_000));
+    assertTrue(arrivals.over(36_000 + 29_000));
+    assertFalse(new Arrivals().over(1_000_000), "where nothing came nothing is over");
+  }
+}
