--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -166,6 +166,7 @@
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
+    duties.add(with.scheduler().every(1_000, this::preempt));
     for (Job job : List.copyOf(jobs.all())) {
       tidy(job);
     }
@@ -402,6 +403,15 @@
     }
   }
 
+  private void preempt() {
+    if (mayDecide()) {
+      int stopped = placer.preempt(with.scheduler().nowMs(), with.scheduler().wallMs());
+      if (stopped > 0) {
+        LOG.info("{} tasks are stopped to make room for pressing jobs", stopped);
+      }
+    }
+  }
+
   private void lost(List<Placement> placements) {
     for (Placement p : placements) {
       ended(p);
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -119,6 +119,12 @@
     }
   }
 
+  /** Makes room for pressing jobs that found none; says how many tasks are stopped for them. */
+  public int preempt(long nowMs, long wallMs) {
+    return new Preemption(fleet, teams, estimates, silenceMs)
+        .run(waitingJobs(nowMs, wallMs), nowMs);
+  }
+
   private void place(Job job, List<Machine> usable, long nowMs) {
     List<Placement> placed = new ArrayList<>();
     int task = nextTask(job, 0, nowMs);
--- a/src/test/java/org/ploverspindle/placement/TriageTest.java
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -22,11 +22,13 @@
 import org.ploverspindle.leadership.Timing;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Placement;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportDesk;
 
 class TriageTest {
   private static final long NOW = 10_000;
+  private static final Term TERM = new Term(7, 1, 0);
 
   private static Job job(String uid, Urgency urgency, int tasks, double runS, double dueS) {
     JobSpec spec =
@@ -54,46 +56,81 @@
     return new Job(spec, 0, 80, 0, new BitSet(), -1, 1);
   }
 
+  private static final TeamUsage TEAMS =
+      new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
+
   /** One machine of 16 cores, empty and under our token. */
   private static Fleet fleet() {
     Catalogue catalogue = new Catalogue(List.of("a"));
     catalogue.update(
         List.of(
             new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
-    TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
-    Term term = new Term(7, 1, 0);
     Fleet fleet =
-        new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(3, 14, 39)), term);
-    ReportDesk desk =
-        new ReportDesk(
-            fleet,
-            term,
-            () -> true,
-            u -> Optional.empty(),
-            u -> Optional.empty(),
-            (j, t) -> false,
-            new ReportDesk.Listener() {
-              @Override
-              public void completed(org.ploverspindle.workers.Placement p, long nowMs) {}
-
-              @Override
-              public void ended(
-                  org.ploverspindle.workers.Placement p,
-                  Report.Cause cause,
-                  boolean saved,
-                  long nowMs) {}
-
-              @Override
-              public void completedUnplaced(Job job, int task) {}
-
-              @Override
-              public void moved(org.ploverspindle.workers.Placement p) {}
-            });
-    desk.take(
-        new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()), NOW);
+        new Fleet(catalogue, TEAMS, Timing.of(new Settings.WorkerLimits(3, 14, 39)), TERM);
+    desk(fleet)
+        .take(
+            new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()), NOW);
     return fleet;
   }
 
+  private static ReportDesk desk(Fleet fleet) {
+    return new ReportDesk(
+        fleet,
+        TERM,
+        () -> true,
+        u -> Optional.empty(),
+        u -> Optional.empty(),
+        (j, t) -> false,
+        new ReportDesk.Listener() {
+          @Override
+          public void completed(Placement p, long nowMs) {}
+
+          @Override
+          public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
+
+          @Override
+          public void completedUnplaced(Job job, int task) {}
+
+          @Override
+          public void moved(Placement p) {}
+        });
+  }
+
+  /** Fills the machine with four running tasks of the urgency and asks for room for a HIGH job. */
+  private static int stoppedFor(Urgency running, double expectedS, long ranMs) {
+    Fleet fleet = fleet();
+    var machine = fleet.get("i-1").orElseThrow();
+    Job victim = job("run-1", running, 4, expectedS, 500);
+    victim.types().set(0);
+    List<Report.Item> items = new java.util.ArrayList<>();
+    for (int task = 0; task < 4; task++) {
+      fleet.place(new Placement(victim, task, task + 1, machine, 1, Placement.Phase.RECORDED));
+      items.add(
+          new Report.Item("run-1", task, task + 1, Report.Phase.RUNNING, Report.Cause.NONE, false));
+    }
+    desk(fleet)
+        .take(new Report("i-1", "", "t", "a", true, 1, 2, 7, OptionalDouble.empty(), items), NOW);
+    Job high = job("run-2", Urgency.HIGH, 2, 10, 60);
+    high.types().set(0);
+    return new Preemption(fleet, TEAMS, new Estimates(), 1_000_000).run(List.of(high), NOW + ranMs);
+  }
+
+  @Test
+  void lowerUrgencyGivesWayTaskByTask() {
+    assertEquals(2, stoppedFor(Urgency.NORMAL, 400, 60_000));
+  }
+
+  @Test
+  void theSameUrgencyIsNotStopped() {
+    assertEquals(0, stoppedFor(Urgency.HIGH, 400, 60_000));
+  }
+
+  @Test
+  void whatHasJustBegunOrWillSoonEndIsLeftAlone() {
+    assertEquals(0, stoppedFor(Urgency.NORMAL, 400, 10_000));
+    assertEquals(0, stoppedFor(Urgency.NORMAL, 65, 60_000));
+  }
+
   private static List<String> order(Job... byStart) {
     Function<Job, OptionalDouble> slack =
         j -> {
