--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -142,6 +142,39 @@
     assertTrue(w.checker.starts() > 50, "seed " + seed + ": " + w.checker.starts() + " starts");
   }
 
+  @Test
+  void anArrayOfTheLargestSizeIsTakenAndWorkedOn() {
+    World w = new World(5, NODES, 14, List.of("a", "b"));
+    JobSpec big =
+        new JobSpec(
+            w.newUid(),
+            "big",
+            "blue",
+            Shape.BATCH,
+            Urgency.NORMAL,
+            JobSpec.MAX_TASKS,
+            1,
+            0,
+            1,
+            Optional.empty(),
+            Optional.empty(),
+            false,
+            false,
+            true,
+            "image",
+            1,
+            2,
+            0,
+            0,
+            OptionalDouble.empty());
+    w.clock.at(3_000, () -> w.user(big));
+    w.clock.at(40_000, () -> w.crash(0, 1_000));
+    w.clock.at(45_000, () -> w.crash(1, 1_000));
+    w.clock.runUntil(90_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(w.checker.starts() > 500, w.checker.starts() + " starts");
+  }
+
   @Test
   void aQuietDayIsServedWhole() {
     World w = play(77, 0);
--- a/src/test/java/org/ploverspindle/sim/SimState.java
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.ploverspindle.state.HttpStateStore;
 import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.Changed;
 import org.ploverspindle.state.StateStore.Condition;
@@ -23,6 +24,11 @@
 
   private static final int HISTORY = 10_000;
 
+  /** As in {@link World#settings}. */
+  private static final int TXN_OPS = 12;
+
+  private static final int VALUE_BYTES = 8 * 1024;
+
   private final SimClock clock;
   private final TreeMap<String, Kept> keys = new TreeMap<>();
   private final Map<Long, Long> holdEndsMs = new HashMap<>();
@@ -96,7 +102,27 @@
     }
   }
 
+  /**
+   * A transaction beyond the limits would be refused for ever: a defect, not a fault to live with.
+   */
+  private static void checkLimits(Txn txn) {
+    int bytes = HttpStateStore.encode(txn).toString().length();
+    boolean valuesFit =
+        txn.changes().stream()
+            .allMatch(
+                c ->
+                    !(c instanceof Change.Put put)
+                        || put.value().toString().length() <= VALUE_BYTES);
+    if (txn.changes().size() > TXN_OPS
+        || txn.conditions().size() > 4 * TXN_OPS
+        || bytes > 64 * 1024
+        || !valuesFit) {
+      throw new IllegalStateException("a transaction is beyond the limits: " + txn);
+    }
+  }
+
   TxnResult txn(Txn txn) {
+    checkLimits(txn);
     List<String> failed = new ArrayList<>();
     for (Condition c : txn.conditions()) {
       Kept kept = keys.get(c.key());
