--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -5,7 +5,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.ploverspindle.cloud.Catalogue;
@@ -16,13 +18,14 @@
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.ProgressRecord;
 import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
 import org.ploverspindle.state.SpecRecord;
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.Condition;
-import org.ploverspindle.state.StateStore.Entry;
 import org.ploverspindle.state.StateStore.TxnResult;
 import org.ploverspindle.state.TokenBucket;
 import org.slf4j.Logger;
@@ -36,8 +39,17 @@
   private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
   private static final long BARRIER_LIMIT_MS = 1_400;
   private static final long CREATE_LIMIT_MS = 2_500;
+  private static final int MOST_WAITING = 200;
+  private static final int MAX_VALUE_BYTES = 16 * 1024;
+  private static final int MAX_TXN_BYTES = 56 * 1024;
 
-  private record Creation(JobSpec spec, JsonNode value, long cameMs, Consumer<Answer> then) {}
+  /** A submission on its way into the store, with all who asked for it here meanwhile. */
+  private record Creation(
+      JobSpec spec, JsonNode value, int bytes, long cameMs, List<Consumer<Answer>> askers) {
+    void answer(Answer answer) {
+      askers.forEach(a -> a.accept(answer));
+    }
+  }
 
   private final Scheduler scheduler;
   private final StateStore store;
@@ -45,18 +57,38 @@
   private final Catalogue catalogue;
   private final Settings settings;
   private final TokenBucket writes;
+  private final SpecIndex specs;
+  private final ProgressCounts counts;
+  private final String nonce;
+  private final Runnable changedForLeader;
+  private final int valueBytes;
   private final int chunk;
   private final Deque<Creation> creations = new ArrayDeque<>();
+  private final Map<String, Creation> pending = new HashMap<>();
+  private long batches;
   private boolean creating;
   private boolean flushPlanned;
 
+  /**
+   * @param nonce names this process's records: no other's, and none of an earlier run's
+   * @param changedForLeader called when a job or a cancellation of here stands in the store
+   */
   public Intake(
       Scheduler scheduler,
       StateStore store,
       Replica replica,
+      SpecIndex specs,
+      ProgressCounts counts,
       Catalogue catalogue,
       Settings settings,
-      TokenBucket writes) {
+      TokenBucket writes,
+      String nonce,
+      Runnable changedForLeader) {
+    this.specs = specs;
+    this.counts = counts;
+    this.nonce = nonce;
+    this.changedForLeader = changedForLeader;
+    this.valueBytes = Math.min(settings.stateLimits().valueBytes(), MAX_VALUE_BYTES);
     this.scheduler = scheduler;
     this.store = store;
     this.replica = replica;
@@ -84,7 +116,7 @@
 
   /** The job's state by the copy; empty when the copy has no such job. */
   private Optional<ObjectNode> state(String uid) {
-    Optional<Entry> spec = replica.get(Keys.spec(uid));
+    Optional<SpecIndex.Spec> spec = specs.get(uid);
     if (spec.isEmpty()) {
       return Optional.empty();
     }
@@ -93,21 +125,17 @@
     if (replica.get(Keys.done(uid)).isPresent()) {
       return Optional.of(body.put("status", "done").put("done", tasks).put("running", 0));
     }
-    int done = 0;
-    int running = 0;
-    for (Entry p : replica.under(Keys.progressOf(uid)).values()) {
-      done += p.value().path("n").asInt();
-      running += p.value().path("r").asInt();
-    }
+    ProgressCounts.Counts c = counts.of(uid);
     if (replica.get(Keys.cancel(uid)).isPresent()) {
-      return Optional.of(body.put("status", "aborted").put("done", done).put("running", 0));
+      return Optional.of(body.put("status", "aborted").put("done", c.done()).put("running", 0));
     }
-    String status = running > 0 ? "running" : "queued";
-    return Optional.of(body.put("status", status).put("done", done).put("running", running));
+    String status = c.running() > 0 ? "running" : "queued";
+    return Optional.of(
+        body.put("status", status).put("done", c.done()).put("running", c.running()));
   }
 
   private boolean over(String uid) {
-    return replica.get(Keys.spec(uid)).isPresent()
+    return specs.get(uid).isPresent()
         && (replica.get(Keys.done(uid)).isPresent() || replica.get(Keys.cancel(uid)).isPresent());
   }
 
@@ -152,7 +180,7 @@
       then.accept(notNow());
       return;
     }
-    if (replica.get(Keys.spec(uid.get())).isPresent()) {
+    if (specs.get(uid.get()).isPresent()) {
       known(uid.get(), then);
       return;
     }
@@ -171,19 +199,29 @@
     }
     Optional<String> never = neverRuns(spec);
     JsonNode value = new SpecRecord(spec, scheduler.wallMs(), chunk).encode();
-    if (never.isEmpty() && Cbor.jsonSize(value) > settings.stateLimits().valueBytes()) {
+    int size = Cbor.jsonSize(value) + uid.get().length() + 4;
+    if (never.isEmpty() && size > valueBytes - 50) {
       never = Optional.of("the job's description is too long to be kept");
     }
     if (never.isPresent()) {
       refuseUnlessKnown(uid.get(), Answer.error(422, never.get()), then);
       return;
     }
-    if (creations.size() >= 4 * settings.stateLimits().txnOps()) {
+    Creation same = pending.get(uid.get());
+    if (same != null) {
+      // The user asks again while its first request is under way: one record answers both.
+      same.askers().add(then);
+      return;
+    }
+    if (creations.size() >= MOST_WAITING) {
       then.accept(Answer.later(429, "too many submissions at once", 2));
       return;
     }
-    creations.add(new Creation(spec, value, scheduler.nowMs(), then));
-    planFlush(5);
+    List<Consumer<Answer>> askers = new ArrayList<>(List.of(then));
+    Creation creation = new Creation(spec, value, size, scheduler.nowMs(), askers);
+    pending.put(uid.get(), creation);
+    creations.add(creation);
+    planFlush(4);
   }
 
   private void known(String uid, Consumer<Answer> then) {
@@ -241,82 +279,72 @@
   }
 
   private void flush() {
-    if (creating || creations.isEmpty()) {
+    if (creating) {
       return;
     }
     while (!creations.isEmpty()
         && scheduler.nowMs() - creations.peek().cameMs() > CREATE_LIMIT_MS) {
-      creations.poll().then().accept(Answer.later(503, "the state service is busy", 2));
+      giveUp(creations.poll());
+    }
+    if (creations.isEmpty()) {
+      return;
     }
     int budget = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available()));
     if (budget < 1) {
-      planFlush(50);
+      planFlush(40);
       return;
     }
     List<Creation> batch = new ArrayList<>();
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
     int bytes = 200;
-    while (!creations.isEmpty() && batch.size() < budget) {
-      Creation c = creations.peek();
-      int size = Cbor.jsonSize(c.value()) + 200;
-      String key = Keys.spec(c.spec().uid());
-      if (!batch.isEmpty() && bytes + size > 56 * 1024
-          || conditions.stream().anyMatch(k -> k.key().equals(key))) {
-        break;
+    while (!creations.isEmpty() && changes.size() < budget && bytes < MAX_TXN_BYTES - valueBytes) {
+      ObjectNode jobs = Cbor.map();
+      int size = 2;
+      while (!creations.isEmpty() && size + creations.peek().bytes() <= valueBytes) {
+        Creation c = creations.poll();
+        jobs.set(c.spec().uid(), c.value());
+        size += c.bytes();
+        batch.add(c);
       }
-      bytes += size;
-      creations.poll();
-      batch.add(c);
+      String key = Keys.batch(nonce + "-" + ++batches);
       conditions.add(new Condition(key, 0));
-      changes.add(new Change.Put(key, c.value()));
-    }
-    if (batch.isEmpty()) {
-      return;
+      changes.add(new Change.Put(key, jobs));
+      bytes += size + 200;
     }
     creating = true;
-    writes.take(batch.size());
+    writes.take(changes.size());
     store.txn(new StateStore.Txn(conditions, changes), r -> created(batch, r));
   }
 
+  private void giveUp(Creation c) {
+    pending.remove(c.spec().uid());
+    c.answer(Answer.later(503, "the state service is busy", 2));
+  }
+
   private void created(List<Creation> batch, TxnResult result) {
     creating = false;
+    batch.forEach(c -> pending.remove(c.spec().uid()));
     if (result instanceof TxnResult.Committed) {
-      batch.forEach(
-          c ->
-              c.then()
-                  .accept(
-                      Answer.of(
-                          201, Cbor.map().put("uid", c.spec().uid()).put("status", "queued"))));
-    } else if (result instanceof TxnResult.Conflict conflict) {
       for (Creation c : batch) {
-        if (conflict.keys().contains(Keys.spec(c.spec().uid()))) {
-          known(c.spec().uid(), c.then());
-        } else {
-          creations.addFirst(c);
-        }
+        c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", "queued")));
       }
-    } else if (result instanceof TxnResult.Unknown) {
-      // It may stand or may yet come to stand: only what is read back is said.
-      barrier(
-          ok ->
-              batch.forEach(
-                  c ->
-                      c.then()
-                          .accept(
-                              ok
-                                  ? state(c.spec().uid())
-                                      .map(s -> Answer.of(200, s))
-                                      .orElseGet(Intake::notNow)
-                                  : notNow())));
+      changedForLeader.run();
+    } else if (result instanceof TxnResult.Refused) {
+      batch.forEach(c -> c.answer(Answer.later(503, "the state service refuses", 1)));
     } else {
-      batch.forEach(c -> c.then().accept(Answer.later(503, "the state service refuses", 1)));
+      // It may stand or may yet come to stand: only what is read back is said.
+      barrier(ok -> batch.forEach(c -> c.answer(readBack(c.spec().uid(), ok))));
     }
     if (!creations.isEmpty()) {
-      planFlush(5);
+      planFlush(4);
     }
   }
 
+  private Answer readBack(String uid, boolean fresh) {
+    return fresh ? state(uid).map(s -> Answer.of(200, s)).orElseGet(Intake::notNow) : notNow();
+  }
+
   // ---- cancelling
 
   public void withdraw(String uid, Consumer<Answer> then) {
@@ -341,7 +369,7 @@
       then.accept(overAnswer(uid));
     } else if (!fresh || tries >= 3) {
       then.accept(notNow());
-    } else if (replica.get(Keys.spec(uid)).isEmpty()) {
+    } else if (specs.get(uid).isEmpty()) {
       then.accept(Answer.error(404, "no such job"));
     } else {
       writes.take(1);
@@ -353,6 +381,7 @@
           result -> {
             if (result instanceof TxnResult.Committed) {
               then.accept(Answer.of(200, Cbor.map().put("uid", uid).put("status", "aborted")));
+              changedForLeader.run();
               replica.barrier(ok -> {});
             } else if (result instanceof TxnResult.Refused) {
               then.accept(notNow());
--- a/src/main/java/org/ploverspindle/jobs/JobTable.java
+++ b/src/main/java/org/ploverspindle/jobs/JobTable.java
@@ -11,8 +11,8 @@
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
 import org.ploverspindle.state.SpecRecord;
-import org.ploverspindle.state.StateStore.Entry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,12 +21,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
 
   private final Replica replica;
+  private final SpecIndex specs;
   private final Catalogue catalogue;
   private final TeamUsage teams;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
 
-  public JobTable(Replica replica, Catalogue catalogue, TeamUsage teams) {
+  public JobTable(Replica replica, SpecIndex specs, Catalogue catalogue, TeamUsage teams) {
     this.replica = replica;
+    this.specs = specs;
     this.catalogue = catalogue;
     this.teams = teams;
   }
@@ -36,25 +38,22 @@
    */
   public List<Job> loadAll() {
     List<Job> loaded = new ArrayList<>();
-    for (Entry e : replica.under(Keys.SPECS).values()) {
-      add(e).ifPresent(loaded::add);
+    for (String uid : specs.uids()) {
+      specs.get(uid).flatMap(this::add).ifPresent(loaded::add);
     }
     return loaded;
   }
 
-  /** Adds the job of a spec record, if it is readable, not done, and not known yet. */
-  public Optional<Job> add(Entry specEntry) {
-    String uid = specEntry.key().substring(Keys.SPECS.length());
+  /** Adds the job of a record, if it is readable, not done, and not known yet. */
+  public Optional<Job> add(SpecIndex.Spec accepted) {
+    String uid = accepted.uid();
     if (jobs.containsKey(uid) || replica.get(Keys.done(uid)).isPresent()) {
       return Optional.empty();
     }
     boolean cancelled = replica.get(Keys.cancel(uid)).isPresent();
-    if (cancelled && replica.under(Keys.progressOf(uid)).isEmpty()) {
-      return Optional.empty();
-    }
-    Optional<SpecRecord> record = SpecRecord.decode(uid, specEntry.value());
+    Optional<SpecRecord> record = SpecRecord.decode(uid, accepted.value());
     if (record.isEmpty()) {
-      LOG.error("the record {} can't be read and is left as it is", specEntry.key());
+      LOG.error("what {} says of {} can't be read and is left as it is", accepted.key(), uid);
       return Optional.empty();
     }
     JobSpec spec = record.get().spec();
--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -1,20 +1,23 @@
 package org.ploverspindle.jobs;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.ploverspindle.leadership.Term;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressLog;
 import org.ploverspindle.state.ProgressRecord;
 import org.ploverspindle.state.Replica;
 import org.ploverspindle.state.StateStore;
@@ -29,21 +32,31 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes the leader's progress durable: one transaction at a time, everything of a round in it that
- * the limits allow, ends of jobs first.
+ * Makes the leader's progress durable: one transaction at a time, all that happened since the last
+ * one in it. Changes are scarce, so what happened to the tasks of all jobs goes into one record of
+ * a log with a fixed number of slots; before a slot is used again, each job that its old record
+ * speaks of has been written whole into a checkpoint, or is over.
  *
  * <p>Each write is bound to the leader key's version, so that a deposed leader's writes fail, and
  * to the version of every key it replaces, so that an unanswered write that is executed late can't
- * undo a later one.
+ * undo a later one: the next try goes to the same slots.
  */
 public final class ProgressWriter {
   private static final Logger LOG = LoggerFactory.getLogger(ProgressWriter.class);
   private static final int MAX_TXN_BYTES = 56 * 1024;
 
+  /** Whatever the store would take: several records should fit into one transaction. */
+  private static final int MAX_VALUE_BYTES = 16 * 1024;
+
+  /**
+   * Records that speak of jobs not yet covered are rewritten this long before their slot's turn.
+   */
+  private static final int EARLY = ProgressLog.SLOTS / 4;
+
   /** What happens to the writer's outcome. */
   public interface Listener {
-    /** Something became durable: orders that waited for it may go out. */
-    void durable();
+    /** These became durable: their orders may go out. */
+    void durable(List<Placement> placements);
 
     void finished(Job job);
 
@@ -56,22 +69,31 @@
     }
   }
 
-  /** What a transaction says of one chunk, for when it is known to be durable. */
-  private record Said(Chunk chunk, BitSet done, List<Placement> placements) {}
+  /** What a transaction says of tasks, for when it is known to be durable. */
+  private record Said(Job job, BitSet tasks, BitSet done, List<Placement> placements) {}
 
   private final Scheduler scheduler;
   private final StateStore store;
   private final Replica replica;
   private final TokenBucket writes;
   private final int txnOps;
+  private final int valueBytes;
   private final Term term;
   private final Function<Machine, ProgressRecord.Host> hostNames;
   private final Listener listener;
   private final Map<Chunk, Long> stamps = new HashMap<>();
-  private final Map<Chunk, BitSet> durableDone = new HashMap<>();
-  private final LinkedHashSet<Chunk> dirty = new LinkedHashSet<>();
+  private final Map<Job, BitSet> durableDone = new HashMap<>();
+  private final LinkedHashMap<Job, BitSet> dirty = new LinkedHashMap<>();
   private final LinkedHashMap<String, Job> ending = new LinkedHashMap<>();
   private final LinkedHashSet<Chunk> removable = new LinkedHashSet<>();
+
+  /** By the log's record: chunks that it is the oldest to speak of since their checkpoint. */
+  private final TreeMap<Long, Set<Chunk>> uncovered = new TreeMap<>();
+
+  private final Map<Chunk, Long> oldest = new HashMap<>();
+  private final long[] slotStamps = new long[ProgressLog.SLOTS];
+  private long next;
+  private long tries;
   private boolean busy;
   private boolean planned;
   private boolean closed;
@@ -83,6 +105,7 @@
       Replica replica,
       TokenBucket writes,
       int txnOps,
+      int valueBytes,
       Term term,
       Function<Machine, ProgressRecord.Host> hostNames,
       Listener listener) {
@@ -91,50 +114,73 @@
     this.replica = replica;
     this.writes = writes;
     this.txnOps = txnOps;
+    this.valueBytes = Math.min(valueBytes, MAX_VALUE_BYTES);
     this.term = term;
     this.hostNames = hostNames;
     this.listener = listener;
+    this.next = 1;
   }
 
   public void close() {
     closed = true;
   }
 
-  /** Takes over what an earlier leader recorded. */
-  public void loaded(Job job, int chunk, long stamp, BitSet done) {
-    Chunk c = new Chunk(job, chunk);
-    stamps.put(c, stamp);
-    durableDone.put(c, (BitSet) done.clone());
+  // ---- taking over
+
+  /** A record of the log, readable or not, stands in its slot. */
+  public void loadedSlot(Entry entry, long n) {
+    slotStamps[ProgressLog.slot(n)] = entry.stamp();
+    next = Math.max(next, n + 1);
+  }
+
+  /** A checkpoint that an earlier leader wrote. */
+  public void loadedCheckpoint(Job job, int chunk, long stamp) {
+    stamps.put(new Chunk(job, chunk), stamp);
+  }
+
+  /** Record {@code n} speaks of the chunk, and no checkpoint covers it. */
+  public void loadedUncovered(Job job, int chunk, long n) {
+    spoken(new Chunk(job, chunk), n);
+  }
+
+  public void loadedDone(Job job, BitSet done) {
+    durableDone.put(job, (BitSet) done.clone());
   }
 
   public boolean isDurablyDone(Job job, int task) {
     if (job.finished()) {
       return true;
     }
-    BitSet done = durableDone.get(new Chunk(job, job.chunkOf(task)));
+    BitSet done = durableDone.get(job);
     return done != null && done.get(task);
   }
 
+  // ---- what is to be written
+
   /** The task's progress changed. */
   public void changed(Job job, int task) {
     if (job.allDone() && !job.cancelled()) {
       ending.putIfAbsent(job.uid(), job);
     } else {
-      dirty.add(new Chunk(job, job.chunkOf(task)));
+      dirty.computeIfAbsent(job, j -> new BitSet()).set(task);
     }
-    plan(15);
+    plan(8);
   }
 
-  /** The job is over and none of its tasks is anywhere: its progress records can go. */
+  /** The job is over and none of its tasks is anywhere: nothing needs to be known of it. */
   public void over(Job job) {
+    dirty.remove(job);
+    durableDone.remove(job);
     for (int i = 0; i < job.chunks(); i++) {
       Chunk c = new Chunk(job, i);
-      dirty.remove(c);
+      covered(c);
       if (stamps.getOrDefault(c, 0L) != 0) {
         removable.add(c);
       }
     }
-    plan(500);
+    if (!removable.isEmpty()) {
+      plan(1_000);
+    }
   }
 
   /** How much waits to be written. */
@@ -142,6 +188,26 @@
     return dirty.size() + ending.size();
   }
 
+  private void spoken(Chunk c, long n) {
+    Long before = oldest.get(c);
+    if (before == null || before > n) {
+      covered(c);
+      oldest.put(c, n);
+      uncovered.computeIfAbsent(n, x -> new LinkedHashSet<>()).add(c);
+    }
+  }
+
+  private void covered(Chunk c) {
+    Long n = oldest.remove(c);
+    if (n != null) {
+      Set<Chunk> at = uncovered.get(n);
+      at.remove(c);
+      if (at.isEmpty()) {
+        uncovered.remove(n);
+      }
+    }
+  }
+
   private void plan(long delayMs) {
     if (!planned && !busy && !closed) {
       planned = true;
@@ -160,7 +226,7 @@
     }
     int budget = (int) Math.min(txnOps, Math.floor(writes.available()));
     if (budget < 1) {
-      plan(60);
+      plan(40);
       return;
     }
     Batch batch = new Batch(budget);
@@ -181,7 +247,10 @@
     private final List<Change> changes = new ArrayList<>();
     private final List<Said> said = new ArrayList<>();
     private final List<Job> ended = new ArrayList<>();
+    private final List<Chunk> checkpoints = new ArrayList<>();
     private final List<Chunk> removed = new ArrayList<>();
+    private final Map<Long, Set<Chunk>> spokenOf = new LinkedHashMap<>();
+    private final Map<Long, String> ids = new LinkedHashMap<>();
     private int bytes = 300;
 
     Batch(int budget) {
@@ -190,7 +259,36 @@
     }
 
     void fill() {
-      for (Iterator<Job> it = ending.values().iterator(); it.hasNext() && room(); ) {
+      ends();
+      // A slot's old record may be replaced only when nothing rests on it any more; one record is
+      // always left room for, unless that first needs checkpoints.
+      long firstN = next;
+      checkpoint(firstN - ProgressLog.SLOTS, budget, firstN);
+      if (uncovered.isEmpty() || oldestUncovered() > firstN - ProgressLog.SLOTS) {
+        log(firstN);
+      }
+      checkpoint(next - ProgressLog.SLOTS + EARLY, Math.min(budget, changes.size() + 2), firstN);
+      removals();
+    }
+
+    /** The oldest record that something rests on which this transaction does not write. */
+    private long oldestUncovered() {
+      for (Map.Entry<Long, Set<Chunk>> e : uncovered.entrySet()) {
+        if (!checkpoints.containsAll(e.getValue())) {
+          return e.getKey();
+        }
+      }
+      return Long.MAX_VALUE;
+    }
+
+    private boolean room(int most) {
+      return changes.size() < most
+          && conditions.size() + 2 <= txnOps * 4
+          && (changes.isEmpty() || bytes < MAX_TXN_BYTES - valueBytes);
+    }
+
+    private void ends() {
+      for (Iterator<Job> it = ending.values().iterator(); it.hasNext() && room(budget); ) {
         Job job = it.next();
         it.remove();
         if (job.cancelled() || job.finished()) {
@@ -204,65 +302,150 @@
         bytes += 250;
         ended.add(job);
       }
-      for (Iterator<Chunk> it = dirty.iterator(); it.hasNext() && room(); ) {
-        Chunk c = it.next();
-        if (c.job().blocked() || c.job().over() && c.job().live().isEmpty()) {
+    }
+
+    private void log(long firstN) {
+      long n = firstN;
+      int group = ProgressLog.Builder.tasksThatFit(valueBytes);
+      ProgressLog.Builder record = null;
+      Set<Chunk> chunks = new LinkedHashSet<>();
+      for (Iterator<Map.Entry<Job, BitSet>> it = dirty.entrySet().iterator(); it.hasNext(); ) {
+        Map.Entry<Job, BitSet> e = it.next();
+        Job job = e.getKey();
+        if (job.blocked() || job.finished()) {
           it.remove();
           continue;
         }
-        if (addChunk(c)) {
-          it.remove();
-        } else {
-          break;
+        BitSet open = e.getValue();
+        while (!open.isEmpty()) {
+          if (record == null) {
+            if (!room(budget)
+                || oldestUncovered() <= n - ProgressLog.SLOTS
+                || n - firstN >= EARLY / 2) {
+              return;
+            }
+            record = new ProgressLog.Builder(n, id(), valueBytes - 100);
+          }
+          BitSet tasks = firstOf(open, group);
+          Said s = new Said(job, tasks, new BitSet(), new ArrayList<>());
+          if (!record.add(delta(s))) {
+            put(n++, record, chunks);
+            record = null;
+            chunks = new LinkedHashSet<>();
+            continue;
+          }
+          open.andNot(tasks);
+          said.add(s);
+          for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
+            chunks.add(new Chunk(job, job.chunkOf(t)));
+          }
         }
-      }
-      for (Iterator<Chunk> it = removable.iterator(); it.hasNext() && room(); ) {
-        Chunk c = it.next();
         it.remove();
-        conditions.add(new Condition(c.key(), stamps.getOrDefault(c, 0L)));
-        changes.add(new Change.Remove(c.key()));
-        removed.add(c);
-        bytes += 150;
+      }
+      if (record != null) {
+        put(n, record, chunks);
       }
     }
 
-    private boolean room() {
-      return changes.size() < budget
-          && conditions.size() + 2 <= txnOps * 4
-          && bytes < MAX_TXN_BYTES;
+    private String id() {
+      return term.token() + "." + ++tries;
+    }
+
+    private void put(long n, ProgressLog.Builder record, Set<Chunk> chunks) {
+      JsonNode value = record.value();
+      conditions.add(new Condition(Keys.log(n), slotStamps[ProgressLog.slot(n)]));
+      changes.add(new Change.Put(Keys.log(n), value));
+      bytes += record.bytes() + 150;
+      spokenOf.put(n, chunks);
+      ids.put(n, value.path("id").asText());
+    }
+
+    private ProgressLog.Delta delta(Said s) {
+      BitSet cleared = new BitSet();
+      List<ProgressRecord.Live> live = new ArrayList<>();
+      Job job = s.job();
+      for (int t = s.tasks().nextSetBit(0); t >= 0; t = s.tasks().nextSetBit(t + 1)) {
+        Placement p = job.liveAt(t);
+        if (job.done().get(t)) {
+          s.done().set(t);
+        } else if (p == null) {
+          cleared.set(t);
+        } else {
+          s.placements().add(p);
+          live.add(live(p));
+        }
+      }
+      return new ProgressLog.Delta(
+          job.uid(), job.done().cardinality(), job.live().size(), s.done(), cleared, live);
     }
 
-    private boolean addChunk(Chunk c) {
+    private ProgressRecord.Live live(Placement p) {
+      return new ProgressRecord.Live(
+          p.task(), p.attempt(), hostNames.apply(p.machine()), p.tenure());
+    }
+
+    /** Writes whole what records up to {@code upToRecord} speak of. */
+    private void checkpoint(long upToRecord, int most, long firstN) {
+      for (Map.Entry<Long, Set<Chunk>> e : uncovered.headMap(upToRecord, true).entrySet()) {
+        for (Chunk c : e.getValue()) {
+          if (!room(most)) {
+            return;
+          }
+          if (!checkpoints.contains(c) && !c.job().blocked()) {
+            addCheckpoint(c, firstN);
+          }
+        }
+      }
+    }
+
+    private void addCheckpoint(Chunk c, long firstN) {
       Job job = c.job();
       int from = c.index() * job.chunkSize();
       int to = Math.min(job.spec().tasks(), from + job.chunkSize());
-      BitSet done = new BitSet();
-      List<Placement> placements = new ArrayList<>();
+      Said s = new Said(job, new BitSet(), new BitSet(), new ArrayList<>());
       List<ProgressRecord.Live> live = new ArrayList<>();
-      int running = 0;
+      s.tasks().set(from, to);
       for (int task = from; task < to; task++) {
-        if (job.done().get(task)) {
-          done.set(task);
-        }
         Placement p = job.liveAt(task);
-        if (p != null) {
-          placements.add(p);
-          live.add(
-              new ProgressRecord.Live(task, p.attempt(), hostNames.apply(p.machine()), p.tenure()));
-          running++;
+        if (job.done().get(task)) {
+          s.done().set(task);
+        } else if (p != null) {
+          s.placements().add(p);
+          live.add(live(p));
         }
       }
-      var value = new ProgressRecord(done, live, running).encode();
-      int size = Cbor.jsonSize(value) + 150;
-      if (!changes.isEmpty() && bytes + size > MAX_TXN_BYTES) {
-        return false;
-      }
-      bytes += size;
+      // Covers what stands before this transaction's own records; those say the same again.
+      JsonNode value =
+          new ProgressRecord(s.done(), live, live.size(), firstN - 1)
+              .encode(job.done().cardinality(), job.live().size());
       conditions.add(new Condition(c.key(), stamps.getOrDefault(c, 0L)));
       changes.add(new Change.Put(c.key(), value));
-      said.add(new Said(c, done, placements));
-      return true;
+      bytes += Cbor.jsonSize(value) + 150;
+      said.add(s);
+      checkpoints.add(c);
     }
+
+    private void removals() {
+      for (Iterator<Chunk> it = removable.iterator();
+          it.hasNext() && changes.size() < budget && conditions.size() + 2 <= txnOps * 4; ) {
+        Chunk c = it.next();
+        it.remove();
+        conditions.add(new Condition(c.key(), stamps.getOrDefault(c, 0L)));
+        changes.add(new Change.Remove(c.key()));
+        removed.add(c);
+        bytes += 150;
+      }
+    }
+  }
+
+  private static BitSet firstOf(BitSet tasks, int most) {
+    BitSet first = new BitSet();
+    int n = 0;
+    for (int t = tasks.nextSetBit(0); t >= 0 && n < most; t = tasks.nextSetBit(t + 1)) {
+      first.set(t);
+      n++;
+    }
+    return first;
   }
 
   private void answered(Batch batch, TxnResult result) {
@@ -273,13 +456,11 @@
     if (result instanceof TxnResult.Committed committed) {
       failures = 0;
       committed(batch, committed.ledger());
-      plan(30);
+      plan(8);
       return;
     }
     failures++;
-    batch.said.forEach(s -> dirty.add(s.chunk()));
-    batch.ended.forEach(j -> ending.putIfAbsent(j.uid(), j));
-    removable.addAll(batch.removed);
+    again(batch);
     if (result instanceof TxnResult.Refused refused) {
       if (refused.status() == 400) {
         LOG.error("the state service calls a write malformed: {} changes", batch.changes.size());
@@ -298,19 +479,32 @@
           if (ok) {
             readBack(batch, result);
           }
-          plan(ok ? 20 : 300);
+          plan(ok ? 10 : 300);
         });
   }
 
+  /** Whatever the transaction said is to be written again, as it will be then. */
+  private void again(Batch batch) {
+    for (Said s : batch.said) {
+      if (!s.job().over() || !s.job().live().isEmpty()) {
+        dirty.computeIfAbsent(s.job(), j -> new BitSet()).or(s.tasks());
+      }
+    }
+    batch.ended.forEach(j -> ending.putIfAbsent(j.uid(), j));
+    removable.addAll(batch.removed);
+  }
+
   private void readBack(Batch batch, TxnResult result) {
     boolean ours = replica.get(Keys.LEADER).map(e -> e.stamp() == term.leaderStamp()).orElse(false);
     if (!ours) {
       listener.deposed("the leader key changed under a write");
       return;
     }
-    Set<Chunk> touched = new HashSet<>(batch.removed);
-    batch.said.forEach(s -> touched.add(s.chunk()));
-    for (Chunk c : touched) {
+    LOG.debug("a write was read back after {}", result);
+    for (Chunk c : batch.checkpoints) {
+      stamps.put(c, replica.get(c.key()).map(Entry::stamp).orElse(0L));
+    }
+    for (Chunk c : batch.removed) {
       stamps.put(c, replica.get(c.key()).map(Entry::stamp).orElse(0L));
     }
     removable.removeIf(c -> stamps.getOrDefault(c, 0L) == 0);
@@ -319,21 +513,76 @@
         finish(job);
       }
     }
-    LOG.debug("a write was read back after {}", result);
+    // A record of an earlier try, executed late, may stand in a slot instead of this one. What it
+    // said is written again by the next; only its place in the log is taken.
+    while (true) {
+      Optional<Entry> e = replica.get(Keys.log(next));
+      if (e.isEmpty() || e.get().value().path("n").asLong() != next) {
+        break;
+      }
+      taken(e.get());
+    }
+  }
+
+  /** A record of an unanswered write stands: all that it speaks of rests on it until covered. */
+  private void taken(Entry e) {
+    ProgressLog.decode(e.value())
+        .ifPresent(
+            record -> {
+              for (ProgressLog.Delta d : record.deltas()) {
+                Job job = jobOf(d.uid());
+                if (job != null) {
+                  BitSet tasks = (BitSet) d.done().clone();
+                  tasks.or(d.cleared());
+                  d.live().forEach(l -> tasks.set(l.task()));
+                  tasks.stream().forEach(t -> spoken(new Chunk(job, job.chunkOf(t)), next));
+                }
+              }
+            });
+    slotStamps[ProgressLog.slot(next)] = e.stamp();
+    next++;
+  }
+
+  private Job jobOf(String uid) {
+    for (Job job : dirty.keySet()) {
+      if (job.uid().equals(uid)) {
+        return job;
+      }
+    }
+    return null;
   }
 
   private void committed(Batch batch, long ledger) {
+    batch.checkpoints.forEach(
+        c -> {
+          stamps.put(c, ledger);
+          covered(c);
+        });
+    batch.spokenOf.forEach(
+        (n, chunks) -> {
+          slotStamps[ProgressLog.slot(n)] = ledger;
+          next = Math.max(next, n + 1);
+          for (Chunk c : chunks) {
+            if (!c.job().finished()) {
+              spoken(c, n);
+            }
+          }
+        });
+    List<Placement> durable = new ArrayList<>();
     for (Said s : batch.said) {
-      stamps.put(s.chunk(), ledger);
-      durableDone.put(s.chunk(), s.done());
-      s.placements().forEach(Placement::recorded);
+      if (!s.job().over()) {
+        durableDone.computeIfAbsent(s.job(), j -> new BitSet()).or(s.done());
+      }
+      for (Placement p : s.placements()) {
+        p.recorded();
+        durable.add(p);
+      }
     }
     for (Chunk c : batch.removed) {
       stamps.remove(c);
-      durableDone.remove(c);
     }
     batch.ended.forEach(this::finish);
-    listener.durable();
+    listener.durable(durable);
   }
 
   private void finish(Job job) {
--- /dev/null
+++ b/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
@@ -0,0 +1,126 @@
+package org.ploverspindle.jobs;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressLog;
+import org.ploverspindle.state.ProgressRecord;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.StateStore.Entry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What earlier leaders recorded, put together for a new one: each job's checkpoints, and over them
+ * the records of the log that are newer.
+ */
+public final class RecordedProgress {
+  private static final Logger LOG = LoggerFactory.getLogger(RecordedProgress.class);
+
+  private final Replica replica;
+  private final ProgressWriter writer;
+  private final Map<String, List<ProgressLog>> logByJob = new HashMap<>();
+  private boolean logDamaged;
+
+  /** A job's tasks as they were recorded last. */
+  public record State(BitSet done, Map<Integer, ProgressRecord.Live> live) {}
+
+  public RecordedProgress(Replica replica, ProgressWriter writer) {
+    this.replica = replica;
+    this.writer = writer;
+    List<ProgressLog> records = new ArrayList<>();
+    for (Entry e : replica.under(Keys.LOG).values()) {
+      Optional<ProgressLog> record = ProgressLog.decode(e.value());
+      if (record.isPresent() && Keys.log(record.get().n()).equals(e.key())) {
+        writer.loadedSlot(e, record.get().n());
+        records.add(record.get());
+      } else {
+        LOG.error("the record {} can't be read: nothing starts until every lease is over", e.key());
+        logDamaged = true;
+      }
+    }
+    records.sort(Comparator.comparingLong(ProgressLog::n));
+    for (ProgressLog record : records) {
+      record.deltas().stream()
+          .map(ProgressLog.Delta::uid)
+          .distinct()
+          .forEach(uid -> logByJob.computeIfAbsent(uid, u -> new ArrayList<>()).add(record));
+    }
+  }
+
+  /** A record of the log is lost: tasks may be where nothing says that they are. */
+  public boolean logDamaged() {
+    return logDamaged;
+  }
+
+  /** The job's progress; the job is blocked if a checkpoint of it can't be read. */
+  public State of(Job job) {
+    State state = new State(new BitSet(), new TreeMap<>());
+    long[] upTo = new long[job.chunks()];
+    for (Entry e : replica.under(Keys.progressOf(job.uid())).values()) {
+      Optional<ProgressRecord> record = ProgressRecord.decode(e.value());
+      int chunk = chunkOf(e.key());
+      if (record.isEmpty() || chunk < 0 || chunk >= job.chunks()) {
+        LOG.error(
+            "the record {} can't be read; its job is not run and it is left as it is", e.key());
+        job.block();
+        continue;
+      }
+      writer.loadedCheckpoint(job, chunk, e.stamp());
+      upTo[chunk] = record.get().upTo();
+      state.done.or(record.get().done());
+      record.get().live().forEach(l -> state.live.put(l.task(), l));
+    }
+    for (ProgressLog record : logByJob.getOrDefault(job.uid(), List.of())) {
+      for (ProgressLog.Delta d : record.deltas()) {
+        if (d.uid().equals(job.uid())) {
+          apply(job, record.n(), d, upTo, state);
+        }
+      }
+    }
+    state.done.clear(job.spec().tasks(), Math.max(job.spec().tasks(), state.done.length()));
+    state.done.stream().forEach(state.live::remove);
+    writer.loadedDone(job, state.done);
+    return state;
+  }
+
+  private void apply(Job job, long n, ProgressLog.Delta d, long[] upTo, State state) {
+    d.done().stream()
+        .filter(t -> newer(job, t, n, upTo))
+        .forEach(
+            t -> {
+              state.done.set(t);
+              state.live.remove(t);
+            });
+    d.cleared().stream().filter(t -> newer(job, t, n, upTo)).forEach(state.live::remove);
+    for (ProgressRecord.Live l : d.live()) {
+      if (newer(job, l.task(), n, upTo)) {
+        state.live.put(l.task(), l);
+      }
+    }
+  }
+
+  private boolean newer(Job job, int task, long n, long[] upTo) {
+    if (task >= job.spec().tasks() || n <= upTo[job.chunkOf(task)]) {
+      return false;
+    }
+    if (!job.blocked()) {
+      writer.loadedUncovered(job, job.chunkOf(task), n);
+    }
+    return true;
+  }
+
+  private static int chunkOf(String key) {
+    try {
+      return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+}
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -96,12 +96,11 @@
     if (!replica.loaded()) {
       return;
     }
-    if (hold.isEmpty()) {
-      openHold();
-    } else if (!holdBusy && scheduler.nowMs() - holdSentMs >= timing.holdMs() / 4) {
-      renew();
-    }
-    if (term.isEmpty() && replica.get(Keys.LEADER).isEmpty()) {
+    if (term.isPresent()) {
+      if (hold.isPresent() && !holdBusy && scheduler.nowMs() - holdSentMs >= timing.holdMs() / 4) {
+        renew();
+      }
+    } else if (replica.get(Keys.LEADER).isEmpty()) {
       tryToLead();
     }
   }
@@ -119,6 +118,7 @@
           if (opened.isPresent()) {
             hold = opened;
             holdSentMs = sentMs;
+            tick();
           }
         });
   }
@@ -144,16 +144,23 @@
   }
 
   private void tryToLead() {
-    if (acquiring
-        || hold.isEmpty()
-        || scheduler.nowMs() < earliestTryMs
-        || scheduler.nowMs() > holdSentMs + timing.holdSurelyMs() / 2) {
+    if (acquiring || scheduler.nowMs() < earliestTryMs) {
+      return;
+    }
+    // Only who tries to lead needs a hold: renewals of all others would use up shared requests.
+    if (hold.isEmpty() || scheduler.nowMs() > holdSentMs + timing.holdSurelyMs() / 2) {
+      openHold();
       return;
     }
     acquiring = true;
     long tokenStamp = replica.get(Keys.TOKEN).map(Entry::stamp).orElse(0L);
     long token = replica.get(Keys.TOKEN).map(e -> e.value().path("n").asLong(0)).orElse(0L) + 1;
-    JsonNode leader = Cbor.map().put("member", member).put("nonce", nonce).put("token", token);
+    JsonNode leader =
+        Cbor.map()
+            .put("member", member)
+            .put("nonce", nonce)
+            .put("token", token)
+            .put("hold", hold.get());
     store.txn(
         new StateStore.Txn(
             List.of(new Condition(Keys.LEADER, 0), new Condition(Keys.TOKEN, tokenStamp)),
@@ -184,6 +191,15 @@
     }
     JsonNode value = entry.get().value();
     boolean ours = value.path("nonce").asText("").equals(nonce);
+    if (!ours && value.path("member").asText("").equals(member)) {
+      // Left by this controller's process before this one, or by a try of it that was executed
+      // late: nobody renews it, and the others need not wait for its end.
+      store.closeHold(value.path("hold").asLong(0));
+    }
+    if (ours && hold.isPresent() && value.path("hold").asLong(-1) != hold.get()) {
+      // A try that was executed late, on a hold that is not renewed any more.
+      ours = false;
+    }
     if (!ours) {
       end("another node leads: " + value.path("member").asText());
       return;
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,6 +1,5 @@
 package org.ploverspindle.leadership;
 
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,6 +13,7 @@
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobTable;
 import org.ploverspindle.jobs.ProgressWriter;
+import org.ploverspindle.jobs.RecordedProgress;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
 import org.ploverspindle.jobs.Urgency;
@@ -29,6 +29,7 @@
 import org.ploverspindle.state.LeaderWrites;
 import org.ploverspindle.state.ProgressRecord;
 import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
 import org.ploverspindle.state.SpecRecord;
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.StateStore.Entry;
@@ -55,6 +56,7 @@
       Scheduler scheduler,
       StateStore store,
       Replica replica,
+      SpecIndex specs,
       CloudApi cloud,
       Catalogue catalogue,
       Settings settings,
@@ -82,6 +84,7 @@
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final long holdMs;
   private long attemptCounter;
+  private long placingFromMs = Long.MIN_VALUE;
   private boolean placingPlanned;
   private boolean closed;
 
@@ -91,7 +94,7 @@
     this.election = election;
     this.holdMs = Math.round(Math.min(2.0, 0.6 * with.settings().workers().reportS()) * 1000);
     this.teams = new TeamUsage(with.settings().teams());
-    this.jobs = new JobTable(with.replica(), with.catalogue(), teams);
+    this.jobs = new JobTable(with.replica(), with.specs(), with.catalogue(), teams);
     this.fleet = new Fleet(with.catalogue(), teams, with.timing(), term);
     this.writer =
         new ProgressWriter(
@@ -100,6 +103,7 @@
             with.replica(),
             with.writes(),
             with.settings().stateLimits().txnOps(),
+            with.settings().stateLimits().valueBytes(),
             term,
             this::hostName,
             new WriterEvents());
@@ -150,19 +154,25 @@
 
   public void start() {
     long now = with.scheduler().nowMs();
-    with.replica().under(Keys.SPECS).values().stream()
-        .mapToLong(e -> SpecRecord.acceptedWallMs(e.value()))
+    with.specs().uids().stream()
+        .flatMap(uid -> with.specs().get(uid).stream())
+        .mapToLong(spec -> SpecRecord.acceptedWallMs(spec.value()))
         .sorted()
         .forEach(arrivals::came);
+    RecordedProgress recorded = new RecordedProgress(with.replica(), writer);
     for (Job job : jobs.loadAll()) {
-      rebuild(job, now);
+      rebuild(job, recorded.of(job), now);
+    }
+    if (recorded.logDamaged()) {
+      placingFromMs = now + with.timing().takeoverSilenceMs();
     }
     LOG.info(
         "took over {} jobs and {} machines under token {}",
         jobs.all().size(),
         fleet.all().size(),
         term.token());
-    with.replica().listen(this::recordChanged);
+    duties.add(with.replica().listen(this::recordChanged));
+    duties.add(with.specs().listen(this::accepted));
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
@@ -203,21 +213,19 @@
 
   // ---- taking over
 
-  private void rebuild(Job job, long now) {
-    for (Entry e : with.replica().under(Keys.progressOf(job.uid())).values()) {
-      Optional<ProgressRecord> record = ProgressRecord.decode(e.value());
-      int chunk = chunkOf(e.key());
-      if (record.isEmpty() || chunk < 0 || chunk >= job.chunks()) {
+  private void rebuild(Job job, RecordedProgress.State recorded, long now) {
+    recorded.done().stream().forEach(job::markDone);
+    for (ProgressRecord.Live l : recorded.live().values()) {
+      ProgressRecord.Host h = l.host();
+      Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), now);
+      if (m.isEmpty() || l.task() >= job.spec().tasks()) {
         LOG.error(
-            "the record {} can't be read; its job is not run and it is left as it is", e.key());
+            "job {} has a record of a machine or task that can't be: it is not run", job.uid());
         job.block();
-        continue;
-      }
-      BitSet done = record.get().done();
-      writer.loaded(job, chunk, e.stamp(), done);
-      done.stream().filter(t -> t < job.spec().tasks()).forEach(job::markDone);
-      for (ProgressRecord.Live l : record.get().live()) {
-        rebuildPlacement(job, l, now, e.key());
+      } else {
+        fleet.place(
+            new Placement(
+                job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
       }
     }
     if (job.allDone() && !job.cancelled()) {
@@ -225,40 +233,24 @@
     }
   }
 
-  private static int chunkOf(String key) {
-    try {
-      return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
-    } catch (NumberFormatException e) {
-      return -1;
-    }
-  }
-
-  private void rebuildPlacement(Job job, ProgressRecord.Live l, long now, String key) {
-    ProgressRecord.Host h = l.host();
-    Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), now);
-    if (m.isEmpty() || l.task() >= job.spec().tasks()) {
-      LOG.error("{} names a machine or task that can't be: its job is not run", key);
-      job.block();
-    } else if (!job.done().get(l.task()) && job.liveAt(l.task()) == null) {
-      fleet.place(
-          new Placement(job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
-    }
-  }
-
   // ---- changes made by any node
 
   private void recordChanged(String key, Optional<Entry> entry) {
     if (closed || entry.isEmpty()) {
       return;
     }
-    if (key.startsWith(Keys.SPECS)) {
-      jobs.add(entry.get()).ifPresent(this::arrived);
-      planPlacing();
-    } else if (key.startsWith(Keys.CANCELS)) {
+    if (key.startsWith(Keys.CANCELS)) {
       jobs.get(key.substring(Keys.CANCELS.length())).ifPresent(this::cancel);
     }
   }
 
+  private void accepted(SpecIndex.Spec spec) {
+    if (!closed) {
+      jobs.add(spec).ifPresent(this::arrived);
+      planPlacing();
+    }
+  }
+
   private void arrived(Job job) {
     arrivals.came(job.acceptedWallMs());
     Resources whole =
@@ -298,9 +290,9 @@
 
   /** Whose an unrecorded task is: it counts for its team as long as it may run. */
   private Optional<ReportDesk.Owner> owner(String uid) {
-    return with.replica()
-        .get(Keys.spec(uid))
-        .flatMap(e -> SpecRecord.decode(uid, e.value()))
+    return with.specs()
+        .get(uid)
+        .flatMap(spec -> SpecRecord.decode(uid, spec.value()))
         .flatMap(
             r ->
                 teams.index(r.spec().team()).map(t -> new ReportDesk.Owner(t, r.spec().perTask())));
@@ -435,7 +427,7 @@
               PLACING_PAUSE_MS,
               () -> {
                 placingPlanned = false;
-                if (mayDecide()) {
+                if (mayDecide() && with.scheduler().nowMs() >= placingFromMs) {
                   placer.run(with.scheduler().nowMs(), with.scheduler().wallMs());
                 }
               });
@@ -469,7 +461,7 @@
 
   private final class WriterEvents implements ProgressWriter.Listener {
     @Override
-    public void durable() {
+    public void durable(List<Placement> placements) {
       releaseHeld();
     }
 
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -17,7 +17,9 @@
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.TokenBucket;
 import org.ploverspindle.state.TypesRecord;
@@ -64,10 +66,32 @@
         new TokenBucket(
             loop, followerWrites(), Math.max(2, settings.stateLimits().writeRps() * 0.3));
     this.election = new Election(loop, store, replica, random, timing, settings.member(), this);
-    this.intake = new Intake(loop, store, replica, catalogue, settings, writes);
+    SpecIndex specs = new SpecIndex(replica);
+    ProgressCounts counts = new ProgressCounts(replica);
+    String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
+    this.intake =
+        new Intake(
+            loop,
+            store,
+            replica,
+            specs,
+            counts,
+            catalogue,
+            settings,
+            writes,
+            nonce,
+            this::changedForLeader);
     this.surroundings =
         new Steward.Surroundings(
-            loop, store, replica, cloud, catalogue, settings, policy, timing, random, writes);
+            loop, store, replica, specs, cloud, catalogue, settings, policy, timing, random,
+            writes);
+  }
+
+  /** What was written here is news for whoever leads. */
+  private void changedForLeader() {
+    if (steward.isPresent()) {
+      replica.barrier(ok -> {});
+    }
   }
 
   /** Followers only accept and cancel; the leader writes the rest. */
@@ -81,7 +105,22 @@
     return settings.stateLimits().writeRps() * (settings.nodes() == 1 ? 0.95 : 0.6);
   }
 
+  /**
+   * The requests of all nodes together stay below the state service's rate: a fifth is for the
+   * leader's reads, not quite half for the reads of all others, and the rest for writes (of which
+   * there are far fewer than requests) and renewals.
+   */
+  private long leaderSpacingMs() {
+    return Math.max(60, Math.round(1000 / (settings.stateLimits().rps() * 0.2)));
+  }
+
+  private long followerSpacingMs() {
+    double each = settings.stateLimits().rps() * 0.45 / Math.max(1, settings.nodes() - 1);
+    return Math.max(150, Math.round(1000 / each));
+  }
+
   public void start() {
+    replica.spacing(followerSpacingMs());
     duties.add(replica.start());
     duties.add(loop.every(500, this::look));
     learnTypes();
@@ -133,6 +172,7 @@
   @Override
   public void leading(Term term) {
     writes.rate(leaderWrites());
+    replica.spacing(leaderSpacingMs());
     Steward fresh = new Steward(surroundings, term, election);
     steward = Optional.of(fresh);
     fresh.start();
@@ -141,6 +181,7 @@
   @Override
   public void ended(Term term, String cause) {
     writes.rate(followerWrites());
+    replica.spacing(followerSpacingMs());
     steward.ifPresent(Steward::close);
     steward = Optional.empty();
   }
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -105,17 +105,19 @@
   }
 
   public void run(long nowMs, long wallMs) {
-    List<Machine> usable = new ArrayList<>();
+    // Nearly all machines of a busy fleet are full, and most runs find nothing to place: only
+    // those with room are looked at for each job.
+    List<Machine> withRoom = new ArrayList<>();
     for (Machine m : fleet.all()) {
-      if (m.usable(nowMs, silenceMs)) {
-        usable.add(m);
+      if (m.free().cores() > 0 && m.usable(nowMs, silenceMs)) {
+        withRoom.add(m);
       }
     }
-    if (usable.isEmpty()) {
+    if (withRoom.isEmpty()) {
       return;
     }
     for (Job job : waitingJobs(nowMs, wallMs)) {
-      place(job, usable, nowMs);
+      place(job, withRoom, nowMs);
     }
   }
 
@@ -133,12 +135,16 @@
       if (best == null) {
         break;
       }
-      Placement p =
-          new Placement(
-              job, task, nextAttempt.getAsLong(), best, best.tenure(), Placement.Phase.INTENT);
-      fleet.place(p);
-      placed.add(p);
-      task = nextTask(job, task + 1, nowMs);
+      // A machine that was best is better still with a task on it: it is filled before another is
+      // looked for.
+      do {
+        Placement p =
+            new Placement(
+                job, task, nextAttempt.getAsLong(), best, best.tenure(), Placement.Phase.INTENT);
+        fleet.place(p);
+        placed.add(p);
+        task = nextTask(job, task + 1, nowMs);
+      } while (task >= 0 && teams.room(job.team(), job.perTask()) > 0 && takes(job, best));
     }
     if (job.spec().shape() == Shape.GANG && !job.waiting().isEmpty()) {
       // Part of a gang would hold its room and wait for the rest. Nothing was recorded or sent yet.
@@ -165,9 +171,7 @@
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
     for (Machine m : usable) {
-      if (!allows(job, m)
-          || !job.perTask().fitsIn(m.free())
-          || m.failuresInRow() > 0 && !m.placements().isEmpty()) {
+      if (!takes(job, m)) {
         continue;
       }
       double fetchS =
@@ -183,6 +187,12 @@
     return best;
   }
 
+  private static boolean takes(Job job, Machine m) {
+    return job.perTask().fitsIn(m.free())
+        && allows(job, m)
+        && (m.failuresInRow() == 0 || m.placements().isEmpty());
+  }
+
   /** Type, kind and zone as the job demands, given where its other tasks are. */
   public static boolean allows(Job job, Machine m) {
     return job.types().get(m.type())
--- a/src/main/java/org/ploverspindle/state/Keys.java
+++ b/src/main/java/org/ploverspindle/state/Keys.java
@@ -12,16 +12,22 @@
   public static final String TOKEN = PREFIX + "token";
   public static final String TYPES = PREFIX + "types";
   public static final String SPECS = PREFIX + "j/";
+  public static final String BATCHES = PREFIX + "b/";
   public static final String CANCELS = PREFIX + "c/";
   public static final String DONES = PREFIX + "d/";
   public static final String PROGRESS = PREFIX + "p/";
+  public static final String LOG = PREFIX + "l/";
   public static final String CLAIMS = PREFIX + "r/";
   public static final String BOUNDS = PREFIX + "g/";
 
   private Keys() {}
 
-  public static String spec(String uid) {
-    return SPECS + uid;
+  public static String batch(String name) {
+    return BATCHES + name;
+  }
+
+  public static String log(long n) {
+    return LOG + String.format(Locale.ROOT, "%03d", ProgressLog.slot(n));
   }
 
   public static String cancel(String uid) {
--- a/src/main/java/org/ploverspindle/state/ProgressRecord.java
+++ b/src/main/java/org/ploverspindle/state/ProgressRecord.java
@@ -12,10 +12,20 @@
 import org.ploverspindle.net.Cbor;
 
 /**
- * What is recorded of a run of a job's tasks: which are done, and where each other one was last
- * placed. Packed as text, ranges for the done ones, since a value may hold only a few kilobytes.
+ * A checkpoint of a run of a job's tasks: which are done, and where each other one was last placed.
+ * Packed as text, ranges for the done ones, since a value may hold only a few kilobytes. Records of
+ * the progress log after {@code upTo} say newer things; an earlier landing's records, which knew no
+ * log, are read as from before its beginning.
  */
-public record ProgressRecord(BitSet done, List<Live> live, int running) {
+public record ProgressRecord(BitSet done, List<Live> live, int running, long upTo) {
+
+  /** Counts of the whole job, for display. */
+  public JsonNode encode(int jobDone, int jobRunning) {
+    ObjectNode v = encode();
+    v.put("job_done", jobDone);
+    v.put("job_running", jobRunning);
+    return v;
+  }
 
   /** A machine with what a new leader must know of it before it reports or is listed. */
   public record Host(String id, String type, String zone, boolean spot) {}
@@ -28,19 +38,10 @@
 
   /** How many tasks one record may hold so that it always fits in a value. */
   public static int chunkFor(int valueBytes) {
-    return Math.max(8, (valueBytes - 200) / LIVE_BYTES);
+    return Math.max(8, (Math.min(valueBytes, 16 * 1024) - 250) / LIVE_BYTES);
   }
 
-  public JsonNode encode() {
-    StringBuilder ranges = new StringBuilder();
-    for (int from = done.nextSetBit(0); from >= 0; ) {
-      int to = done.nextClearBit(from) - 1;
-      ranges.append(ranges.isEmpty() ? "" : ",").append(from);
-      if (to > from) {
-        ranges.append('-').append(to);
-      }
-      from = done.nextSetBit(to + 1);
-    }
+  public ObjectNode encode() {
     Map<Host, Integer> hosts = new LinkedHashMap<>();
     StringBuilder places = new StringBuilder();
     for (Live l : live) {
@@ -58,7 +59,8 @@
     ObjectNode v = Cbor.map();
     v.put("n", done.cardinality());
     v.put("r", running);
-    v.put("done", ranges.toString());
+    v.put("upto", upTo);
+    v.put("done", ranges(done));
     v.put("live", places.toString());
     ArrayNode names = v.putArray("hosts");
     for (Host h : hosts.keySet()) {
@@ -73,13 +75,7 @@
       return Optional.empty();
     }
     try {
-      BitSet done = new BitSet();
-      for (String range : parts(v.path("done").asText())) {
-        int dash = range.indexOf('-');
-        int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
-        int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
-        done.set(from, to + 1);
-      }
+      BitSet done = ranges(v.path("done").asText());
       List<Host> hosts = new ArrayList<>();
       for (JsonNode h : v.path("hosts")) {
         String[] f = h.asText().split(",", -1);
@@ -101,13 +97,38 @@
                 hosts.get(Integer.parseInt(f[2])),
                 Long.parseLong(f[3])));
       }
-      return Optional.of(new ProgressRecord(done, live, v.path("r").asInt()));
+      return Optional.of(
+          new ProgressRecord(done, live, v.path("r").asInt(), v.path("upto").asLong(0)));
     } catch (NumberFormatException | IndexOutOfBoundsException e) {
       return Optional.empty();
     }
   }
 
-  private static String[] parts(String text) {
+  static String ranges(BitSet set) {
+    StringBuilder ranges = new StringBuilder();
+    for (int from = set.nextSetBit(0); from >= 0; ) {
+      int to = set.nextClearBit(from) - 1;
+      ranges.append(ranges.isEmpty() ? "" : ",").append(from);
+      if (to > from) {
+        ranges.append('-').append(to);
+      }
+      from = set.nextSetBit(to + 1);
+    }
+    return ranges.toString();
+  }
+
+  static BitSet ranges(String text) {
+    BitSet set = new BitSet();
+    for (String range : parts(text)) {
+      int dash = range.indexOf('-');
+      int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
+      int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
+      set.set(from, to + 1);
+    }
+    return set;
+  }
+
+  static String[] parts(String text) {
     return text.isEmpty() ? new String[0] : text.split(",", -1);
   }
 }
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -30,7 +30,7 @@
   }
 
   private static final int PAGE = 500;
-  private static final long SPACING_MS = 90;
+  private static final long FIRST_SPACING_MS = 150;
 
   private final Scheduler scheduler;
   private final StateStore store;
@@ -46,6 +46,7 @@
   private long lastSentMs = Long.MIN_VALUE / 2;
   private long freshAsOfMs = Long.MIN_VALUE / 2;
   private int failures;
+  private long spacingMs = FIRST_SPACING_MS;
 
   public Replica(Scheduler scheduler, StateStore store, String prefix, long idlePeriodMs) {
     this.scheduler = scheduler;
@@ -54,8 +55,10 @@
     this.idlePeriodMs = idlePeriodMs;
   }
 
-  public void listen(Listener listener) {
+  /** Cancelled with the term of whoever listens: a leader that was must not be kept for ever. */
+  public Cancellable listen(Listener listener) {
     listeners.add(listener);
+    return () -> listeners.remove(listener);
   }
 
   public Cancellable start() {
@@ -63,6 +66,11 @@
     return scheduler.every(idlePeriodMs, this::readIfIdle);
   }
 
+  /** Reads go out at least this far apart: this node's share of the state service's requests. */
+  public void spacing(long ms) {
+    spacingMs = ms;
+  }
+
   private void readIfIdle() {
     if (scheduler.nowMs() - lastSentMs >= idlePeriodMs) {
       read();
@@ -100,7 +108,7 @@
       return;
     }
     // Wider apart while reads fail: polls must not use up the requests that leadership needs.
-    long wait = lastSentMs + Math.min(600, SPACING_MS * (1 + failures)) - scheduler.nowMs();
+    long wait = lastSentMs + Math.min(600, spacingMs * (1 + failures)) - scheduler.nowMs();
     if (wait <= 0) {
       read();
     } else {
@@ -169,7 +177,7 @@
   }
 
   private void notifyAll(String key, Optional<Entry> entry) {
-    for (Listener l : listeners) {
+    for (Listener l : List.copyOf(listeners)) {
       l.changed(key, entry);
     }
   }
--- /dev/null
+++ b/src/main/java/org/ploverspindle/state/SpecIndex.java
@@ -0,0 +1,77 @@
+package org.ploverspindle.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.state.StateStore.Entry;
+
+/**
+ * Accepted jobs by their id, over the copy. A record holds all jobs that a node accepted at once,
+ * as changes are scarce; so nothing in the store keeps two nodes from accepting one id. The record
+ * that was written first counts, on every node and for good: it can't be overtaken by one that is
+ * executed late, and whoever told its user "accepted" by the other record told the truth.
+ */
+public final class SpecIndex {
+  /** An accepted job's record, and the revision that wrote it. */
+  public record Spec(String uid, JsonNode value, long stamp, String key) {
+    private boolean isBefore(Spec other) {
+      return stamp != other.stamp ? stamp < other.stamp : key.compareTo(other.key) < 0;
+    }
+  }
+
+  /** Told of every job that is new here. */
+  public interface Listener {
+    void accepted(Spec spec);
+  }
+
+  private final Map<String, Spec> specs = new HashMap<>();
+  private final List<Listener> listeners = new ArrayList<>();
+
+  public SpecIndex(Replica replica) {
+    replica.listen(this::changed);
+  }
+
+  /** Cancelled with the term of whoever listens. */
+  public Cancellable listen(Listener listener) {
+    listeners.add(listener);
+    return () -> listeners.remove(listener);
+  }
+
+  public Optional<Spec> get(String uid) {
+    return Optional.ofNullable(specs.get(uid));
+  }
+
+  public Set<String> uids() {
+    return specs.keySet();
+  }
+
+  private void changed(String key, Optional<Entry> entry) {
+    if (entry.isEmpty()) {
+      return;
+    }
+    Entry e = entry.get();
+    if (key.startsWith(Keys.SPECS)) {
+      add(new Spec(key.substring(Keys.SPECS.length()), e.value(), e.stamp(), key));
+    } else if (key.startsWith(Keys.BATCHES)) {
+      for (Map.Entry<String, JsonNode> job : e.value().properties()) {
+        add(new Spec(job.getKey(), job.getValue(), e.stamp(), key));
+      }
+    }
+  }
+
+  private void add(Spec spec) {
+    Spec known = specs.get(spec.uid());
+    if (known != null && !spec.isBefore(known)) {
+      return;
+    }
+    specs.put(spec.uid(), spec);
+    if (known == null) {
+      List.copyOf(listeners).forEach(l -> l.accepted(spec));
+    }
+  }
+}
--- a/src/test/java/org/ploverspindle/state/ProgressRecordTest.java
+++ b/src/test/java/org/ploverspindle/state/ProgressRecordTest.java
@@ -30,7 +30,7 @@
           live.add(new Live(task, random.nextLong() >>> 2, h, random.nextInt(100)));
         }
       }
-      ProgressRecord record = new ProgressRecord(done, live, live.size());
+      ProgressRecord record = new ProgressRecord(done, live, live.size(), 0);
       byte[] stored = Cbor.write(record.encode());
       assertEquals(Optional.of(record), ProgressRecord.decode(Cbor.readMap(stored).orElseThrow()));
     }
@@ -45,7 +45,7 @@
         Host h = new Host("i-99" + task, "machine-type-16", "some-zone-a1", false);
         live.add(new Live(99_000 + task, (1L << 40) + task, h, 1234));
       }
-      int size = Cbor.jsonSize(new ProgressRecord(new BitSet(), live, chunk).encode());
+      int size = Cbor.jsonSize(new ProgressRecord(new BitSet(), live, chunk, 0).encode());
       assertTrue(size <= kb * 1024, size + " bytes for " + kb + " KiB");
     }
   }
