--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -13,6 +13,7 @@
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.HttpStateStore;
+import org.ploverspindle.workers.HttpWorkerLine;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -44,6 +45,8 @@
             loop,
             new HttpStateStore(caller(buffers, settings.state().toString(), 6)),
             new HttpCloud(caller(buffers, settings.cloud().toString(), 3)),
+            new HttpWorkerLine(
+                address -> HttpCaller.once(loop, worker.getIoThread(), buffers, address)),
             settings,
             policy,
             random);
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -166,7 +166,8 @@
             List.of(new Condition(Keys.LEADER, 0), new Condition(Keys.TOKEN, tokenStamp)),
             List.of(
                 new Change.Put(Keys.LEADER, leader, hold),
-                new Change.Put(Keys.TOKEN, Cbor.map().put("n", token)))),
+                // The last token of the term: whoever reads this, the next term begins above it.
+                new Change.Put(Keys.TOKEN, Cbor.map().put("n", token + Term.SPAN - 1)))),
         result -> {
           if (result instanceof TxnResult.NoSuchHold) {
             hold = Optional.empty();
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.Catalogue;
@@ -36,10 +38,10 @@
 import org.ploverspindle.state.TokenBucket;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
-import org.ploverspindle.workers.Order;
 import org.ploverspindle.workers.Placement;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportDesk;
+import org.ploverspindle.workers.WorkerLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -51,6 +53,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
   private static final long PLACING_PAUSE_MS = 60;
 
+  /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
+  private static final int MOST_DIRECT = 48;
+
   /** What a steward works with, the same in all terms. */
   public record Surroundings(
       Scheduler scheduler,
@@ -58,6 +63,7 @@
       Replica replica,
       SpecIndex specs,
       CloudApi cloud,
+      WorkerLine workers,
       Catalogue catalogue,
       Settings settings,
       Policy policy,
@@ -66,7 +72,7 @@
       TokenBucket writes) {}
 
   /** A report whose answer waits for orders to become durable. */
-  private record Held(Report report, Consumer<List<Order>> then, long untilMs) {}
+  private record Held(Report report, Consumer<ReportDesk.Reply> then, long untilMs) {}
 
   private final Surroundings with;
   private final Term term;
@@ -86,6 +92,7 @@
   private long attemptCounter;
   private long placingFromMs = Long.MIN_VALUE;
   private boolean placingPlanned;
+  private int directs;
   private boolean closed;
 
   public Steward(Surroundings with, Term term, Election election) {
@@ -305,20 +312,20 @@
    * what is placed there by then goes out at once, where it would wait for the next report. Without
    * a sure lead nothing is ordered.
    */
-  public void report(Report report, Consumer<List<Order>> then) {
+  public void report(Report report, Consumer<ReportDesk.Reply> then) {
     release(report.host());
     long now = with.scheduler().nowMs();
-    List<Order> orders = desk.take(report, now);
+    ReportDesk.Reply reply = desk.take(report, now);
     Optional<Machine> m = fleet.get(report.host());
     if (report.recallS().isPresent()) {
       m.ifPresent(this::recalled);
     }
     if (!mayDecide()) {
-      then.accept(List.of());
-    } else if (orders.isEmpty() && m.isPresent() && roomFor(m.get(), report, now)) {
+      then.accept(desk.none(report.host()));
+    } else if (reply.orders().isEmpty() && m.isPresent() && roomFor(m.get(), report, now)) {
       held.put(report.host(), new Held(report, then, now + holdMs));
     } else {
-      then.accept(orders);
+      then.accept(reply);
     }
   }
 
@@ -332,7 +339,8 @@
   private void release(String host) {
     Held h = held.remove(host);
     if (h != null) {
-      h.then().accept(mayDecide() ? desk.later(h.report(), with.scheduler().nowMs()) : List.of());
+      h.then()
+          .accept(mayDecide() ? desk.later(h.report(), with.scheduler().nowMs()) : desk.none(host));
     }
   }
 
@@ -351,6 +359,42 @@
     }
   }
 
+  /**
+   * What presses and found no report to be an answer to goes straight to its machine: its next
+   * report may be seconds away.
+   */
+  private void launchDirectly(List<Placement> placements) {
+    Set<Machine> machines = new LinkedHashSet<>();
+    for (Placement p : placements) {
+      if (p.phase() == Placement.Phase.READY
+          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+        machines.add(p.machine());
+      }
+    }
+    for (Machine m : machines) {
+      if (directs >= MOST_DIRECT) {
+        return;
+      }
+      desk.direct(m).ifPresent(d -> send(m, d));
+    }
+  }
+
+  private void send(Machine m, ReportDesk.Direct d) {
+    directs++;
+    with.workers()
+        .order(
+            d.address(),
+            d.token(),
+            d.tenure(),
+            d.orders(),
+            answer -> {
+              directs--;
+              if (!closed) {
+                answer.ifPresent(r -> desk.takeDirect(r, with.scheduler().nowMs()));
+              }
+            });
+  }
+
   private static boolean hasOrder(Placement p) {
     return p.phase() == Placement.Phase.READY || !p.neverSent() && (p.stopping() || p.job().over());
   }
@@ -389,6 +433,11 @@
 
   private void tick() {
     long now = with.scheduler().nowMs();
+    if (!fleet.fencesLeft()) {
+      // A new term has new tokens; nothing else changes, as a leader takes over from itself.
+      election.resign();
+      return;
+    }
     if (mayDecide()) {
       lost(fleet.expire(now));
       planPlacing();
@@ -463,6 +512,7 @@
     @Override
     public void durable(List<Placement> placements) {
       releaseHeld();
+      launchDirectly(placements);
     }
 
     @Override
--- a/src/main/java/org/ploverspindle/leadership/Term.java
+++ b/src/main/java/org/ploverspindle/leadership/Term.java
@@ -1,4 +1,19 @@
 package org.ploverspindle.leadership;
 
-/** A time of leading: its token, the leader key's version that all its writes are bound to. */
-public record Term(long token, long leaderStamp, long startMs) {}
+/**
+ * A time of leading: its tokens, and the leader key's version that all its writes are bound to. A
+ * term has many tokens, so that one machine's can be raised alone: what was sent to it under a
+ * lower one is then void. All of a term are lower than the first of the next.
+ */
+public record Term(long token, long leaderStamp, long startMs) {
+  /** How many tokens a term has. */
+  public static final long SPAN = 1L << 20;
+
+  public boolean owns(long warrant) {
+    return warrant >= token && warrant < token + SPAN;
+  }
+
+  public boolean isBefore(long warrant) {
+    return warrant >= token + SPAN;
+  }
+}
--- a/src/main/java/org/ploverspindle/net/HttpCaller.java
+++ b/src/main/java/org/ploverspindle/net/HttpCaller.java
@@ -39,6 +39,7 @@
   private final ByteBufferPool buffers;
   private final URI target;
   private final int maxConnections;
+  private final boolean keep;
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
   private final Deque<Call> queue = new ArrayDeque<>();
   private int open;
@@ -49,11 +50,28 @@
       ByteBufferPool buffers,
       String address,
       int maxConnections) {
+    this(scheduler, io, buffers, address, maxConnections, true);
+  }
+
+  private HttpCaller(
+      Scheduler scheduler,
+      XnioIoThread io,
+      ByteBufferPool buffers,
+      String address,
+      int maxConnections,
+      boolean keep) {
     this.scheduler = scheduler;
     this.io = io;
     this.buffers = buffers;
     this.target = URI.create("http://" + address);
     this.maxConnections = maxConnections;
+    this.keep = keep;
+  }
+
+  /** For one call to a target that there are many of: its connection is not kept. */
+  public static HttpCaller once(
+      Scheduler scheduler, XnioIoThread io, ByteBufferPool buffers, String address) {
+    return new HttpCaller(scheduler, io, buffers, address, 1, false);
   }
 
   @Override
@@ -126,8 +144,12 @@
               });
       if (finished) {
         // The call was given up while connecting; the connection is still good for others.
-        idle.add(fresh);
-        pump();
+        if (keep) {
+          idle.add(fresh);
+          pump();
+        } else {
+          IoUtils.safeClose(fresh);
+        }
         return;
       }
       send(fresh);
@@ -245,7 +267,7 @@
                   exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
       ClientConnection done = connection;
       finish(new Reply.Answer(status, received.toByteArray()));
-      if (close) {
+      if (close || !keep) {
         IoUtils.safeClose(done);
       } else {
         // On the next turn: the exchange ends only after this listener returned.
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -25,6 +25,7 @@
 import org.ploverspindle.state.TypesRecord;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportCodec;
+import org.ploverspindle.workers.WorkerLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,6 +54,7 @@
       Scheduler loop,
       StateStore store,
       CloudApi cloud,
+      WorkerLine workers,
       Settings settings,
       Policy policy,
       RandomGenerator random) {
@@ -83,8 +85,8 @@
             this::changedForLeader);
     this.surroundings =
         new Steward.Surroundings(
-            loop, store, replica, specs, cloud, catalogue, settings, policy, timing, random,
-            writes);
+            loop, store, replica, specs, cloud, workers, catalogue, settings, policy, timing,
+            random, writes);
   }
 
   /** What was written here is news for whoever leads. */
@@ -216,7 +218,7 @@
       then.accept(elsewhere());
       return;
     }
-    if (report.get().warrant() > term.get().token()) {
+    if (term.get().isBefore(report.get().warrant())) {
       election.deposed("a worker has seen a higher token");
       then.accept(elsewhere());
       return;
@@ -226,12 +228,11 @@
       then.accept(Answer.later(503, "the state is not known", 1));
       return;
     }
-    long token = term.get().token();
     steward
         .get()
         .report(
             report.get(),
-            orders -> then.accept(new Answer(200, ReportCodec.encodeAnswer(token, orders), 0)));
+            a -> then.accept(new Answer(200, ReportCodec.encodeAnswer(a.token(), a.orders()), 0)));
   }
 
   private Answer elsewhere() {
--- a/src/main/java/org/ploverspindle/workers/Fleet.java
+++ b/src/main/java/org/ploverspindle/workers/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +28,11 @@
   private final Term term;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Set<String> released = new HashSet<>();
+  private final Map<String, Seen> dropped = new HashMap<>();
+  private long fences;
+
+  /** The newest that was known of a machine which is no longer kept. */
+  private record Seen(long tenure, long tally) {}
 
   public Fleet(Catalogue catalogue, TeamUsage teams, Timing timing, Term term) {
     this.catalogue = catalogue;
@@ -63,7 +69,9 @@
         || host.indexOf(',') >= 0) {
       return Optional.empty();
     }
-    Machine m = new Machine(host, t.get(), z.get(), spot, catalogue.type(t.get()).size(), nowMs);
+    Machine m =
+        new Machine(
+            host, t.get(), z.get(), spot, catalogue.type(t.get()).size(), nowMs, term.token());
     machines.put(host, m);
     return Optional.of(m);
   }
@@ -117,6 +125,26 @@
   /** The machine is not listed any more and its lease is over. */
   public void drop(Machine m) {
     machines.remove(m.host());
+    dropped.put(m.host(), new Seen(m.tenure(), m.tally()));
+  }
+
+  /**
+   * True for a copy, come late, of what a machine said before it was dropped: it must not bring the
+   * machine back as one that can be used.
+   */
+  boolean isOld(Report report) {
+    Seen seen = dropped.get(report.host());
+    return seen != null && !report.newerThan(seen.tenure(), seen.tally());
+  }
+
+  /** A token for one machine, higher than all that were given in this term. */
+  long nextFence() {
+    return term.token() + Math.min(Term.SPAN - 1, ++fences);
+  }
+
+  /** False when the term's tokens come to their end: then nothing may go out that needs more. */
+  public boolean fencesLeft() {
+    return fences < Term.SPAN * 3 / 4;
   }
 
   /**
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/HttpWorkerLine.java
@@ -0,0 +1,46 @@
+package org.ploverspindle.workers;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.ploverspindle.net.Caller;
+import org.ploverspindle.net.Reply;
+
+/**
+ * The workers' own protocol. A connection for each call: they are few, and hundreds of kept ones
+ * would take the sockets that reports and users need.
+ */
+public final class HttpWorkerLine implements WorkerLine {
+  private static final long TIMEOUT_MS = 1_500;
+
+  private final Function<String, Caller> callers;
+
+  public HttpWorkerLine(Function<String, Caller> callers) {
+    this.callers = callers;
+  }
+
+  @Override
+  public void order(
+      String address,
+      long token,
+      long tenure,
+      List<Order> orders,
+      Consumer<Optional<Report>> then) {
+    callers
+        .apply(address)
+        .call(
+            "POST",
+            "/do",
+            ReportCodec.encodeDirect(token, tenure, orders),
+            TIMEOUT_MS,
+            r -> then.accept(report(r)));
+  }
+
+  /** Refused commands are answered with a report as well: the session or the token has moved on. */
+  private static Optional<Report> report(Reply reply) {
+    return reply instanceof Reply.Answer a && (a.status() == 200 || a.status() == 409)
+        ? ReportCodec.decode(a.body())
+        : Optional.empty();
+  }
+}
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -40,8 +40,13 @@
   private long lastFailureMs;
   private long shunnedUntilMs = Long.MIN_VALUE / 2;
   private boolean listed;
+  private long fence;
+  private boolean hears;
+  private long deafSinceMs = -1;
+  private final Map<Long, Long> direct = new HashMap<>();
 
-  public Machine(String host, int type, int zone, boolean spot, Resources size, long nowMs) {
+  public Machine(
+      String host, int type, int zone, boolean spot, Resources size, long nowMs, long fence) {
     this.host = host;
     this.type = type;
     this.zone = zone;
@@ -49,6 +54,52 @@
     this.size = size;
     this.knownSinceMs = nowMs;
     this.emptySinceMs = nowMs;
+    this.fence = fence;
+  }
+
+  /** The token that this machine's answers carry. */
+  public long fence() {
+    return fence;
+  }
+
+  /**
+   * From now on its answers carry this token. Whatever was sent straight to it before is void once
+   * it has shown the new one, and until then it is not known to hear us.
+   */
+  void raise(long token) {
+    fence = token;
+  }
+
+  /** True when, in this session, it has shown a token of ours that was raised since. */
+  public boolean hears() {
+    return hears;
+  }
+
+  /** Nothing we say seems to arrive: it gets no work until it shows the token raised for this. */
+  void suspectDeaf(long token, long nowMs) {
+    if (hears || deafSinceMs < 0) {
+      raise(token);
+    }
+    hears = false;
+    if (deafSinceMs < 0) {
+      deafSinceMs = nowMs;
+    }
+  }
+
+  /** Since when it has reported and not heard, or -1. */
+  public long deafSinceMs() {
+    return deafSinceMs;
+  }
+
+  /** A launch went straight to it and is not to be forgotten under the same token. */
+  void sentDirectly(long attempt) {
+    direct.put(attempt, fence);
+  }
+
+  /** Could a launch of this attempt that went straight there still be executed? */
+  boolean directOpen(long attempt) {
+    Long token = direct.get(attempt);
+    return token != null && token >= fence;
   }
 
   public String host() {
@@ -114,6 +165,13 @@
     tally = report.tally();
     lastReportMs = nowMs;
     confirmed |= underOurToken;
+    if (underOurToken && report.warrant() >= fence) {
+      hears = true;
+      deafSinceMs = -1;
+    }
+    if (underOurToken && !direct.isEmpty()) {
+      direct.values().removeIf(token -> token < report.warrant());
+    }
     if (!report.address().isEmpty()) {
       address = report.address();
     }
@@ -247,7 +305,7 @@
 
   /** May new tasks be put here? */
   public boolean usable(long nowMs, long silenceMs) {
-    return confirmed
+    return hears
         && !draining
         && !releasing
         && recalledAtMs < 0
--- a/src/main/java/org/ploverspindle/workers/Placement.java
+++ b/src/main/java/org/ploverspindle/workers/Placement.java
@@ -31,6 +31,8 @@
   private long runningSinceMs = -1;
   private boolean stopping;
   private double windDownS;
+  private long directToken = -1;
+  private int lostAnswers;
 
   public Placement(Job job, int task, long attempt, Machine machine, long tenure, Phase phase) {
     this.job = job;
@@ -79,9 +81,28 @@
     }
   }
 
-  /** True as long as no launch can have reached the machine. */
+  /** True as long as no launch can have reached the machine, nor can reach it any more. */
   public boolean neverSent() {
-    return phase == Phase.INTENT || phase == Phase.READY;
+    return (phase == Phase.INTENT || phase == Phase.READY) && directToken < 0;
+  }
+
+  /**
+   * The launch was sent straight to the machine under this token, and may be executed at any time
+   * until the machine has seen a higher one or begins a new session; -1 when it was not.
+   */
+  long directToken() {
+    return directToken;
+  }
+
+  void sentDirectly(long token) {
+    directToken = token;
+    phase = Phase.SENT;
+    sentTally = Long.MAX_VALUE;
+  }
+
+  /** The machine has seen a higher token: what went straight to it is void. */
+  void directVoid() {
+    directToken = -1;
   }
 
   void sent(long tally) {
@@ -92,6 +113,12 @@
   /** The answer that held the launch did not arrive: the next one holds it again. */
   void lost() {
     phase = Phase.READY;
+    lostAnswers++;
+  }
+
+  /** How often an answer with its launch was lost. */
+  int lostAnswers() {
+    return lostAnswers;
   }
 
   long sentTally() {
--- a/src/main/java/org/ploverspindle/workers/ReportCodec.java
+++ b/src/main/java/org/ploverspindle/workers/ReportCodec.java
@@ -114,7 +114,15 @@
 
   /** The answer to a report: as many orders, in their order, as the limit on bodies allows. */
   public static byte[] encodeAnswer(long token, List<Order> orders) {
-    ObjectNode body = Cbor.map().put("warrant", token);
+    return Cbor.write(encode(Cbor.map().put("warrant", token), orders));
+  }
+
+  /** Commands that go straight to a worker. */
+  public static byte[] encodeDirect(long token, long tenure, List<Order> orders) {
+    return Cbor.write(encode(Cbor.map().put("warrant", token).put("tenure", tenure), orders));
+  }
+
+  private static ObjectNode encode(ObjectNode body, List<Order> orders) {
     ArrayNode list = body.putArray("orders");
     for (Order order : orders) {
       ObjectNode o = list.addObject();
@@ -129,7 +137,7 @@
         o.put("wind_down_s", stop.windDownS());
       }
     }
-    return Cbor.write(body);
+    return body;
   }
 
   /** About what an order takes in JSON form. */
--- a/src/main/java/org/ploverspindle/workers/ReportDesk.java
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -61,9 +61,36 @@
     this.listener = listener;
   }
 
+  /** What goes out in answer to a report. */
+  public record Reply(long token, List<Order> orders) {}
+
+  /** A launch that may go straight to its machine now, and what it is sent with. */
+  public record Direct(String address, long token, long tenure, List<Order> orders) {}
+
+  /** An answer with no orders, which renews the lease. */
+  public Reply none(String host) {
+    return new Reply(fleet.get(host).map(Machine::fence).orElse(term.token()), List.of());
+  }
+
+  private Reply reply(Report report, List<Order> orders) {
+    return new Reply(none(report.host()).token(), orders);
+  }
+
   /** Orders for the worker, or none at all when the report tells nothing that can be relied on. */
-  public List<Order> take(Report report, long nowMs) {
-    if (fleet.wasReleased(report.host())) {
+  public Reply take(Report report, long nowMs) {
+    return reply(report, read(report, nowMs, false));
+  }
+
+  /**
+   * What a machine answered to launches that went straight to it. It shows what is there, and can't
+   * be answered: what it calls for is ordered with the next report.
+   */
+  public void takeDirect(Report report, long nowMs) {
+    read(report, nowMs, true);
+  }
+
+  private List<Order> read(Report report, long nowMs, boolean direct) {
+    if (fleet.wasReleased(report.host()) || fleet.isOld(report)) {
       return List.of();
     }
     Optional<Machine> found =
@@ -79,24 +106,58 @@
       return List.of();
     }
     boolean newSession = report.tenure() > m.tenure();
-    boolean ours = report.warrant() == term.token();
+    boolean ours = term.owns(report.warrant());
+    if (newSession && m.up()) {
+      // Its lease ran out although it reports: our answers may not reach it.
+      m.suspectDeaf(fleet.nextFence(), nowMs);
+    }
     m.heard(report, nowMs, ours);
     if (newSession) {
       endOlderSessions(m, nowMs);
     }
-    return new Reading(m, report, ours, nowMs).orders();
+    return new Reading(m, report, ours, direct, nowMs).orders();
+  }
+
+  /**
+   * Launches on the machine that are recorded and were in no answer yet, to go straight to it. A
+   * launch that goes this way may be executed late, so from here on the attempt counts as possibly
+   * there until a report shows otherwise under a higher token, or the session ends.
+   */
+  public Optional<Direct> direct(Machine m) {
+    if (!m.hears() || m.address().isEmpty() || !mayLaunch.get() || !fleet.fencesLeft()) {
+      return Optional.empty();
+    }
+    List<Order> orders = new ArrayList<>();
+    int bytes = 40;
+    for (Placement p : m.placements()) {
+      Order launch = new Order.Launch(p.job().uid(), p.task(), p.attempt());
+      if (p.phase() == Placement.Phase.READY
+          && p.tenure() == m.tenure()
+          && !p.job().over()
+          && !p.stopping()
+          && bytes + ReportCodec.size(launch) <= ReportCodec.MAX_ORDER_BYTES) {
+        bytes += ReportCodec.size(launch);
+        orders.add(launch);
+        p.sentDirectly(m.fence());
+        m.sentDirectly(p.attempt());
+      }
+    }
+    return orders.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new Direct(m.address(), m.fence(), m.tenure(), orders));
   }
 
   /**
    * What can be ordered by now in answer to a report that was taken before: what has become durable
    * since. Nothing when a newer report came, as its answer is the one that counts.
    */
-  public List<Order> later(Report report, long nowMs) {
+  public Reply later(Report report, long nowMs) {
     Optional<Machine> m = fleet.get(report.host());
     if (m.isEmpty() || m.get().tenure() != report.tenure() || m.get().tally() != report.tally()) {
-      return List.of();
+      return none(report.host());
     }
-    return new Reading(m.get(), report, report.warrant() == term.token(), nowMs).later();
+    return reply(
+        report, new Reading(m.get(), report, term.owns(report.warrant()), false, nowMs).later());
   }
 
   /** A new session began with nothing on the machine: what was placed in older ones is gone. */
@@ -114,14 +175,16 @@
     private final Machine machine;
     private final Report report;
     private final boolean ours;
+    private final boolean direct;
     private final long nowMs;
     private final List<Order> orders = new ArrayList<>();
     private int bytes = 40;
 
-    Reading(Machine machine, Report report, boolean ours, long nowMs) {
+    Reading(Machine machine, Report report, boolean ours, boolean direct, long nowMs) {
       this.machine = machine;
       this.report = report;
       this.ours = ours;
+      this.direct = direct;
       this.nowMs = nowMs;
     }
 
@@ -129,6 +192,11 @@
       if (bytes + ReportCodec.size(o) <= ReportCodec.MAX_ORDER_BYTES) {
         bytes += ReportCodec.size(o);
         orders.add(o);
+        if (o instanceof Order.Forget && machine.directOpen(o.attempt())) {
+          // Once forgotten, a late copy of the launch would start it again: the same answer raises
+          // the token, under which that copy is void.
+          machine.raise(fleet.nextFence());
+        }
       }
     }
 
@@ -149,7 +217,7 @@
           absent(p);
         }
       }
-      if (ours && mayLaunch.get()) {
+      if (ours && !direct && mayLaunch.get()) {
         launches();
       }
       return orders;
@@ -264,20 +332,60 @@
       if (!ours) {
         return;
       }
+      if (p.directToken() >= 0 && report.warrant() <= p.directToken()) {
+        directAbsent(p);
+        return;
+      }
+      p.directVoid();
+      if (p.neverSent()) {
+        if (p.job().over() || p.stopping()) {
+          end(p);
+        }
+        return;
+      }
       if (p.phase() == Placement.Phase.SENT) {
-        if (report.tally() > p.sentTally()) {
-          // The answer was lost, and answers are never executed late: it can be sent again.
-          if (p.job().over() || p.stopping()) {
-            end(p);
-          } else {
-            p.lost();
-          }
+        // Only a report proves that the answer before it is over: what answers a direct command
+        // may have been written in between.
+        if (!direct && (report.tally() > p.sentTally() || p.sentTally() == Long.MAX_VALUE)) {
+          answerLost(p);
         }
         return;
       }
       end(p);
     }
 
+    /** The launch went straight there, is not shown, and may still arrive. */
+    private void directAbsent(Placement p) {
+      if (direct) {
+        return;
+      }
+      if (p.job().over() || p.stopping()) {
+        if (machine.fence() <= p.directToken()) {
+          machine.raise(fleet.nextFence());
+        }
+      } else if (p.phase() == Placement.Phase.SENT
+          && (p.sentTally() == Long.MAX_VALUE || report.tally() > p.sentTally())) {
+        // The same launch in an answer does no harm where the direct one arrives as well.
+        p.lost();
+      }
+    }
+
+    /**
+     * The answer with the launch was lost, and answers are never executed late: it can be sent
+     * again. A machine that loses one after another does not hear us; its tasks go elsewhere.
+     */
+    private void answerLost(Placement p) {
+      if (p.job().over() || p.stopping()) {
+        end(p);
+        return;
+      }
+      p.lost();
+      if (p.lostAnswers() >= 2) {
+        machine.suspectDeaf(fleet.nextFence(), nowMs);
+        end(p);
+      }
+    }
+
     private void end(Placement p) {
       fleet.gone(p, nowMs);
       listener.ended(p, Report.Cause.NONE, false, nowMs);
@@ -288,6 +396,9 @@
         if (p.phase() != Placement.Phase.READY) {
           continue;
         }
+        if (p.directToken() >= 0 && (p.job().over() || p.stopping())) {
+          continue;
+        }
         if (p.tenure() != report.tenure() || p.job().over() || p.stopping()) {
           end(p);
           continue;
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -103,6 +103,19 @@
     return gone;
   }
 
+  String address() {
+    return place.host() + ":9000";
+  }
+
+  /** Commands that come straight here; the answer is the report after them. */
+  Report direct(long token, long ofTenure, List<Order> orders) {
+    if (!gone && token >= warrant && ofTenure == tenure) {
+      warrant = token;
+      orders.forEach(this::execute);
+    }
+    return report();
+  }
+
   private void killAll() {
     for (Run r : runs.values()) {
       leave(r);
@@ -157,7 +170,7 @@
     }
     return new Report(
         place.host(),
-        "10.9.9.9:9000",
+        address(),
         place.type(),
         place.zone(),
         place.spot(),
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -26,6 +26,7 @@
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.workers.Order;
 import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.WorkerLine;
 
 /** Controllers as they really decide, among stand-ins for all else, in simulated time. */
 final class World {
@@ -115,6 +116,7 @@
             p,
             new StoreLine(i, p),
             new CloudLine(i, p),
+            new DirectLine(i, p),
             settings("n" + i, nodes, settings.zones()),
             policy,
             new SplittableRandom(random.nextLong()));
@@ -264,6 +266,44 @@
     }
   }
 
+  /** Direct commands: executed once, late, twice, or never, as the network has it. */
+  private final class DirectLine implements WorkerLine {
+    private final int i;
+    private final SimClock.Process p;
+
+    DirectLine(int i, SimClock.Process p) {
+      this.i = i;
+      this.p = p;
+    }
+
+    @Override
+    public void order(
+        String address,
+        long token,
+        long tenure,
+        List<Order> orders,
+        Consumer<Optional<Report>> then) {
+      Optional<SimWorker> to =
+          cloud.workers().stream().filter(w -> w.address().equals(address)).findFirst();
+      if (to.isEmpty()) {
+        p.schedule(1_500, () -> then.accept(Optional.empty()));
+        return;
+      }
+      ask(
+          i,
+          p,
+          to.get().host(),
+          1_500,
+          () -> Optional.of(to.get().direct(token, tenure, orders)),
+          Optional.<Report>empty(),
+          then);
+      if (random.nextInt(6) == 0) {
+        // A copy of what was carried out comes late.
+        clock.at(500 + random.nextInt(40_000), () -> to.get().direct(token, tenure, orders));
+      }
+    }
+  }
+
   // ---- workers
 
   private SimWorker boot(Checker.Place place) {
--- a/src/test/java/org/ploverspindle/workers/MachineTest.java
+++ b/src/test/java/org/ploverspindle/workers/MachineTest.java
@@ -10,7 +10,7 @@
 import org.ploverspindle.jobs.Resources;
 
 class MachineTest {
-  private final Machine m = new Machine("i-1", 0, 0, true, Resources.offered(16, 0, 64), 0);
+  private final Machine m = new Machine("i-1", 0, 0, true, Resources.offered(16, 0, 64), 0, 1);
 
   private void report(long nowMs) {
     m.heard(
