--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -112,7 +112,7 @@
     w.clock.at(forMs, () -> w.network.cut(a, b, false));
   }
 
-  private static World play(long seed, int troubles) {
+  static World play(long seed, int troubles) {
     World w = new World(seed, NODES, 14, List.of("a", "b"));
     Random r = new Random(seed * 31 + 7);
     for (int i = 0; i < 40; i++) {
