Controllers hint at new jobs; a long wait for a write no longer blocks a short one

Three parts: a planned removal of old records 1 s away kept the next write from being planned sooner; the leader read new jobs only every 700 ms when nobody polled it; on the leader acceptance waited behind its own writes.

Changed: the sooner plan wins; starts are recorded before ends when there is one change left; records between controllers (DataOutputStream, package peers) say that something is new; a leader reads every 200 ms by itself; acceptance has a share of changes of its own.

--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -10,6 +10,8 @@
 import org.ploverspindle.loop.Rank;
 import org.ploverspindle.net.HttpCaller;
 import org.ploverspindle.node.Controller;
+import org.ploverspindle.peers.PeerDoor;
+import org.ploverspindle.peers.PeerRecord;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.HttpStateStore;
@@ -27,6 +29,7 @@
   private final XnioWorker worker;
   private final Controller controller;
   private final Door door;
+  private final PeerDoor peers;
 
   Service(Settings settings, Policy policy, RandomGenerator random) throws IOException {
     worker =
@@ -40,6 +43,7 @@
                     .set(Options.TCP_NODELAY, true)
                     .getMap());
     ByteBufferPool buffers = new DefaultByteBufferPool(true, 4096, 64, 2);
+    peers = new PeerDoor(loop, worker, settings.back(), settings.members(), this::heard);
     controller =
         new Controller(
             loop,
@@ -47,6 +51,7 @@
             new HttpCloud(caller(buffers, settings.cloud().toString(), 3)),
             new HttpWorkerLine(
                 address -> HttpCaller.once(loop, worker.getIoThread(), buffers, address)),
+            peers,
             settings,
             policy,
             random);
@@ -64,15 +69,21 @@
     return new HttpCaller(loop, worker.getIoThread(), buffers, address, connections);
   }
 
-  void start() {
+  private void heard(PeerRecord record) {
+    controller.heard(record);
+  }
+
+  void start() throws IOException {
     loop.start();
     door.open();
+    peers.open();
     loop.execute(Rank.DECISION, controller::start);
   }
 
   void stop() {
     loop.execute(Rank.DECISION, controller::stop);
     door.close();
+    peers.close();
     loop.close();
     worker.shutdownNow();
   }
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -326,6 +326,11 @@
     creating = false;
     batch.forEach(c -> pending.remove(c.spec().uid()));
     if (result instanceof TxnResult.Committed) {
+      LOG.debug(
+          "accepted {} jobs, the first {} after {} ms",
+          batch.size(),
+          batch.get(0).spec().uid(),
+          scheduler.nowMs() - batch.get(0).cameMs());
       for (Creation c : batch) {
         c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", "queued")));
       }
--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.ploverspindle.leadership.Term;
+import org.ploverspindle.loop.Cancellable;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.state.Keys;
@@ -95,7 +96,9 @@
   private long next;
   private long tries;
   private boolean busy;
-  private boolean planned;
+  private Optional<Cancellable> planned = Optional.empty();
+  private long plannedMs;
+  private boolean endsWaited;
   private boolean closed;
   private int failures;
 
@@ -208,16 +211,22 @@
     }
   }
 
+  /** The next flush comes this soon, or sooner if it was planned so. */
   private void plan(long delayMs) {
-    if (!planned && !busy && !closed) {
-      planned = true;
-      scheduler.schedule(
-          delayMs,
-          () -> {
-            planned = false;
-            flush();
-          });
+    long dueMs = scheduler.nowMs() + delayMs;
+    if (busy || closed || planned.isPresent() && plannedMs <= dueMs) {
+      return;
     }
+    planned.ifPresent(Cancellable::cancel);
+    plannedMs = dueMs;
+    planned =
+        Optional.of(
+            scheduler.schedule(
+                delayMs,
+                () -> {
+                  planned = Optional.empty();
+                  flush();
+                }));
   }
 
   private void flush() {
@@ -237,7 +246,21 @@
     }
     busy = true;
     writes.take(batch.changes.size());
-    store.txn(new StateStore.Txn(batch.conditions, batch.changes), r -> answered(batch, r));
+    long sentMs = scheduler.nowMs();
+    LOG.debug(
+        "writing {} changes, {} bytes: {} logs, {} ends, {} checkpoints; {} left",
+        batch.changes.size(),
+        batch.bytes,
+        batch.ids.size(),
+        batch.ended.size(),
+        batch.checkpoints.size(),
+        dirty.size());
+    store.txn(
+        new StateStore.Txn(batch.conditions, batch.changes),
+        r -> {
+          LOG.debug("written after {} ms", scheduler.nowMs() - sentMs);
+          answered(batch, r);
+        });
   }
 
   /** One transaction in the making. */
@@ -259,7 +282,11 @@
     }
 
     void fill() {
-      ends();
+      // What waits to start waits for its record; users may learn of an end a little later.
+      boolean endsFirst = dirty.isEmpty() || endsWaited || budget > 1;
+      if (endsFirst) {
+        ends(Math.max(1, budget - 1));
+      }
       // A slot's old record may be replaced only when nothing rests on it any more; one record is
       // always left room for, unless that first needs checkpoints.
       long firstN = next;
@@ -267,6 +294,8 @@
       if (uncovered.isEmpty() || oldestUncovered() > firstN - ProgressLog.SLOTS) {
         log(firstN);
       }
+      ends(budget);
+      endsWaited = !ending.isEmpty();
       checkpoint(next - ProgressLog.SLOTS + EARLY, Math.min(budget, changes.size() + 2), firstN);
       removals();
     }
@@ -287,8 +316,8 @@
           && (changes.isEmpty() || bytes < MAX_TXN_BYTES - valueBytes);
     }
 
-    private void ends() {
-      for (Iterator<Job> it = ending.values().iterator(); it.hasNext() && room(budget); ) {
+    private void ends(int most) {
+      for (Iterator<Job> it = ending.values().iterator(); it.hasNext() && room(most); ) {
         Job job = it.next();
         it.remove();
         if (job.cancelled() || job.finished()) {
@@ -574,7 +603,7 @@
         durableDone.computeIfAbsent(s.job(), j -> new BitSet()).or(s.done());
       }
       for (Placement p : s.placements()) {
-        p.recorded();
+        p.recorded(scheduler.nowMs());
         durable.add(p);
       }
     }
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -230,6 +230,15 @@
     listener.leading(fresh);
   }
 
+  /** Another controller says that it leads: ends an older lead of ours, and is looked up. */
+  public void higherToken(long token) {
+    if (term.isPresent() && term.get().isBefore(token)) {
+      deposed("another controller has a higher token");
+    } else {
+      replica.barrier(ok -> {});
+    }
+  }
+
   /** Called with any sign that a newer leader exists. */
   public void deposed(String cause) {
     end(cause);
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -19,6 +19,7 @@
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
 import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.loop.DutyTimes;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
 import org.ploverspindle.placement.Arrivals;
@@ -51,7 +52,10 @@
  */
 public final class Steward {
   private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
-  private static final long PLACING_PAUSE_MS = 60;
+  private static final long PLACING_PAUSE_MS = 40;
+
+  /** Hints of new jobs may be lost: a leader looks for them by itself as well. */
+  private static final long READ_MS = 200;
 
   /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
   private static final int MOST_DIRECT = 48;
@@ -86,6 +90,7 @@
   private final ReportDesk desk;
   private final Placer placer;
   private final Rentals rentals;
+  private final DutyTimes times = new DutyTimes();
   private final Scope duties = new Scope();
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final long holdMs;
@@ -183,7 +188,9 @@
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
-    duties.add(with.scheduler().every(1_000, this::preempt));
+    duties.add(with.scheduler().every(READ_MS, () -> with.replica().readIfOlderThan(READ_MS)));
+    duties.add(with.scheduler().every(1_000, () -> times.run("preemption", this::preempt)));
+    duties.add(with.scheduler().every(10_000, () -> LOG.debug("busy with {}", times.take())));
     for (Job job : List.copyOf(jobs.all())) {
       tidy(job);
     }
@@ -253,6 +260,7 @@
 
   private void accepted(SpecIndex.Spec spec) {
     if (!closed) {
+      LOG.debug("job {} is here", spec.uid());
       jobs.add(spec).ifPresent(this::arrived);
       planPlacing();
     }
@@ -315,7 +323,9 @@
   public void report(Report report, Consumer<ReportDesk.Reply> then) {
     release(report.host());
     long now = with.scheduler().nowMs();
-    ReportDesk.Reply reply = desk.take(report, now);
+    ReportDesk.Reply[] taken = new ReportDesk.Reply[1];
+    times.run("reports", () -> taken[0] = desk.take(report, now));
+    ReportDesk.Reply reply = taken[0];
     Optional<Machine> m = fleet.get(report.host());
     if (report.recallS().isPresent()) {
       m.ifPresent(this::recalled);
@@ -375,7 +385,7 @@
       if (directs >= MOST_DIRECT) {
         return;
       }
-      desk.direct(m).ifPresent(d -> send(m, d));
+      desk.direct(m, with.scheduler().nowMs()).ifPresent(d -> send(m, d));
     }
   }
 
@@ -477,7 +487,9 @@
               () -> {
                 placingPlanned = false;
                 if (mayDecide() && with.scheduler().nowMs() >= placingFromMs) {
-                  placer.run(with.scheduler().nowMs(), with.scheduler().wallMs());
+                  times.run(
+                      "placing",
+                      () -> placer.run(with.scheduler().nowMs(), with.scheduler().wallMs()));
                 }
               });
     }
@@ -574,7 +586,19 @@
 
     @Override
     public void moved(Placement p) {
-      // Shown by the next write of its record.
+      if (LOG.isDebugEnabled()
+          && p.phase() == Placement.Phase.RUNNING
+          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+        // For people who ask why a pressing task waited.
+        long now = with.scheduler().nowMs();
+        LOG.debug(
+            "{}/{} runs {} ms after its acceptance; {} ms after its record, {} ms after its launch",
+            p.job().uid(),
+            p.task(),
+            with.scheduler().wallMs() - p.job().acceptedWallMs(),
+            now - p.recordedMs(),
+            now - p.sentMs());
+      }
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/ploverspindle/loop/DutyTimes.java
@@ -0,0 +1,46 @@
+package org.ploverspindle.loop;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** How long the decision loop was busy with each duty, for people who ask what a node does. */
+public final class DutyTimes {
+  private static final class Sum {
+    private long nanos;
+    private long most;
+    private long runs;
+  }
+
+  private final Map<String, Sum> sums = new TreeMap<>();
+
+  public void run(String duty, Runnable work) {
+    long from = System.nanoTime();
+    try {
+      work.run();
+    } finally {
+      long took = System.nanoTime() - from;
+      Sum sum = sums.computeIfAbsent(duty, d -> new Sum());
+      sum.nanos += took;
+      sum.most = Math.max(sum.most, took);
+      sum.runs++;
+    }
+  }
+
+  /** Since the last call: each duty's milliseconds, its longest run, and how often it ran. */
+  public String take() {
+    StringBuilder text = new StringBuilder();
+    sums.forEach(
+        (duty, sum) ->
+            text.append(text.isEmpty() ? "" : ", ")
+                .append(duty)
+                .append(' ')
+                .append(sum.nanos / 1_000_000)
+                .append(" ms in ")
+                .append(sum.runs)
+                .append(" (longest ")
+                .append(sum.most / 1_000_000)
+                .append(')'));
+    sums.clear();
+    return text.toString();
+  }
+}
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -14,6 +14,8 @@
 import org.ploverspindle.leadership.Timing;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.peers.PeerRecord;
+import org.ploverspindle.peers.Peers;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
@@ -46,6 +48,7 @@
   private final Intake intake;
   private final TokenBucket writes;
   private final Steward.Surroundings surroundings;
+  private final Peers peers;
   private final Scope duties = new Scope();
   private Optional<Steward> steward = Optional.empty();
   private volatile boolean ready;
@@ -55,19 +58,30 @@
       StateStore store,
       CloudApi cloud,
       WorkerLine workers,
+      Peers peers,
       Settings settings,
       Policy policy,
       RandomGenerator random) {
     this.settings = settings;
     this.loop = loop;
     this.cloud = cloud;
+    this.peers = peers;
     this.replica = new Replica(loop, store, Keys.PREFIX, 700);
     this.catalogue = new Catalogue(settings.zones());
     this.timing = Timing.of(settings.workers());
     this.writes =
         new TokenBucket(
-            loop, followerWrites(), Math.max(2, settings.stateLimits().writeRps() * 0.3));
+            loop,
+            settings.stateLimits().writeRps() * 0.65,
+            Math.max(2, settings.stateLimits().writeRps() * 0.4));
     this.election = new Election(loop, store, replica, random, timing, settings.member(), this);
+    // Submissions and cancellations have a share of their own on every node: on the leader they
+    // would wait behind what its own work is allowed.
+    TokenBucket accepting =
+        new TokenBucket(
+            loop,
+            settings.stateLimits().writeRps() * 0.3 / settings.nodes(),
+            Math.max(2, settings.stateLimits().writeRps() / (2 * settings.nodes())));
     SpecIndex specs = new SpecIndex(replica);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
@@ -80,7 +94,7 @@
             counts,
             catalogue,
             settings,
-            writes,
+            accepting,
             nonce,
             this::changedForLeader);
     this.surroundings =
@@ -93,18 +107,26 @@
   private void changedForLeader() {
     if (steward.isPresent()) {
       replica.barrier(ok -> {});
+    } else {
+      election
+          .leaderName()
+          .ifPresent(leader -> peers.tell(leader, new PeerRecord.News(settings.member())));
     }
   }
 
-  /** Followers only accept and cancel; the leader writes the rest. */
-  private double followerWrites() {
-    return settings.nodes() == 1
-        ? settings.stateLimits().writeRps() * 0.95
-        : settings.stateLimits().writeRps() * 0.35 / (settings.nodes() - 1);
-  }
-
-  private double leaderWrites() {
-    return settings.stateLimits().writeRps() * (settings.nodes() == 1 ? 0.95 : 0.6);
+  /**
+   * A hint from another controller. All that it can do is to have the state service read sooner.
+   */
+  public void heard(PeerRecord record) {
+    if (record instanceof PeerRecord.News) {
+      if (steward.isPresent()) {
+        replica.barrier(ok -> {});
+      }
+    } else if (record instanceof PeerRecord.Leading leading) {
+      election.higherToken(leading.token());
+    } else {
+      replica.barrier(ok -> {});
+    }
   }
 
   /**
@@ -173,16 +195,15 @@
 
   @Override
   public void leading(Term term) {
-    writes.rate(leaderWrites());
     replica.spacing(leaderSpacingMs());
     Steward fresh = new Steward(surroundings, term, election);
     steward = Optional.of(fresh);
     fresh.start();
+    peers.tellAll(new PeerRecord.Leading(settings.member(), term.token()));
   }
 
   @Override
   public void ended(Term term, String cause) {
-    writes.rate(followerWrites());
     replica.spacing(followerSpacingMs());
     steward.ifPresent(Steward::close);
     steward = Optional.empty();
--- /dev/null
+++ b/src/main/java/org/ploverspindle/peers/PeerCodec.java
@@ -0,0 +1,97 @@
+package org.ploverspindle.peers;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+/**
+ * Records between controllers: a length, a version, a kind, and the fields. A record of another
+ * version or kind is passed over, so that landings can be mixed while controllers are restarted one
+ * after the other; a length that no record has ends the connection.
+ */
+public final class PeerCodec {
+  public static final int MAX_LENGTH = 1024;
+  private static final int VERSION = 1;
+  private static final int LEADING = 1;
+  private static final int RESIGNED = 2;
+  private static final int NEWS = 3;
+
+  private PeerCodec() {}
+
+  /** A connection carries something that is not ours. */
+  public static final class Broken extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Broken(String message) {
+      super(message);
+    }
+  }
+
+  public static byte[] encode(PeerRecord record) {
+    ByteArrayOutputStream body = new ByteArrayOutputStream(64);
+    ByteArrayOutputStream framed = new ByteArrayOutputStream(64);
+    try {
+      DataOutputStream out = new DataOutputStream(body);
+      out.writeByte(VERSION);
+      out.writeByte(kind(record));
+      out.writeUTF(record.member());
+      if (record instanceof PeerRecord.Leading leading) {
+        out.writeLong(leading.token());
+      } else if (record instanceof PeerRecord.Resigned resigned) {
+        out.writeLong(resigned.token());
+      }
+      DataOutputStream frame = new DataOutputStream(framed);
+      frame.writeInt(body.size());
+      body.writeTo(frame);
+    } catch (IOException e) {
+      throw new UncheckedIOException("memory could not be written", e);
+    }
+    return framed.toByteArray();
+  }
+
+  private static int kind(PeerRecord record) {
+    if (record instanceof PeerRecord.Leading) {
+      return LEADING;
+    }
+    return record instanceof PeerRecord.Resigned ? RESIGNED : NEWS;
+  }
+
+  /** The length of the next whole frame's body, or -1 while it is not all there. */
+  static int wholeFrame(ByteBuffer received) throws Broken {
+    if (received.remaining() < Integer.BYTES) {
+      return -1;
+    }
+    int length = received.getInt(received.position());
+    if (length < 2 || length > MAX_LENGTH) {
+      throw new Broken("a record of " + length + " bytes");
+    }
+    return received.remaining() < Integer.BYTES + length ? -1 : length;
+  }
+
+  /** Takes a whole frame; empty for a version or kind that is not known here. */
+  static Optional<PeerRecord> take(ByteBuffer received, int length) throws Broken {
+    received.getInt();
+    byte[] body = new byte[length];
+    received.get(body);
+    try {
+      DataInputStream in = new DataInputStream(new ByteArrayInputStream(body));
+      if (in.readUnsignedByte() != VERSION) {
+        return Optional.empty();
+      }
+      int kind = in.readUnsignedByte();
+      return switch (kind) {
+        case LEADING -> Optional.of(new PeerRecord.Leading(in.readUTF(), in.readLong()));
+        case RESIGNED -> Optional.of(new PeerRecord.Resigned(in.readUTF(), in.readLong()));
+        case NEWS -> Optional.of(new PeerRecord.News(in.readUTF()));
+        default -> Optional.empty();
+      };
+    } catch (IOException e) {
+      throw new Broken("a record that ends too early");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/peers/PeerRecord.java
@@ -0,0 +1,18 @@
+package org.ploverspindle.peers;
+
+/**
+ * What controllers tell each other: hints alone. Each says that the state service has something new
+ * to read; losing all of them costs time, never a rule.
+ */
+public sealed interface PeerRecord {
+  String member();
+
+  /** The member leads under this token. */
+  record Leading(String member, long token) implements PeerRecord {}
+
+  /** The member has given up the lead: nobody need wait for its hold to end. */
+  record Resigned(String member, long token) implements PeerRecord {}
+
+  /** The member wrote something that the leader should read soon: a job or a cancellation. */
+  record News(String member) implements PeerRecord {}
+}
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -72,7 +72,11 @@
   }
 
   private void readIfIdle() {
-    if (scheduler.nowMs() - lastSentMs >= idlePeriodMs) {
+    readIfOlderThan(idlePeriodMs);
+  }
+
+  public void readIfOlderThan(long ms) {
+    if (scheduler.nowMs() - lastSentMs >= ms * (1 + failures)) {
       read();
     }
   }
--- a/src/main/java/org/ploverspindle/workers/Placement.java
+++ b/src/main/java/org/ploverspindle/workers/Placement.java
@@ -33,6 +33,8 @@
   private double windDownS;
   private long directToken = -1;
   private int lostAnswers;
+  private long recordedMs = -1;
+  private long sentMs = -1;
 
   public Placement(Job job, int task, long attempt, Machine machine, long tenure, Phase phase) {
     this.job = job;
@@ -75,12 +77,22 @@
   }
 
   /** The intent is durable. */
-  public void recorded() {
+  public void recorded(long nowMs) {
     if (phase == Phase.INTENT) {
       phase = Phase.READY;
+      recordedMs = nowMs;
     }
   }
 
+  /** When the intent became durable and when the launch went out first, or -1; for the log. */
+  public long recordedMs() {
+    return recordedMs;
+  }
+
+  public long sentMs() {
+    return sentMs;
+  }
+
   /** True as long as no launch can have reached the machine, nor can reach it any more. */
   public boolean neverSent() {
     return (phase == Phase.INTENT || phase == Phase.READY) && directToken < 0;
@@ -94,7 +106,8 @@
     return directToken;
   }
 
-  void sentDirectly(long token) {
+  void sentDirectly(long token, long nowMs) {
+    sentMs = sentMs < 0 ? nowMs : sentMs;
     directToken = token;
     phase = Phase.SENT;
     sentTally = Long.MAX_VALUE;
@@ -105,7 +118,8 @@
     directToken = -1;
   }
 
-  void sent(long tally) {
+  void sent(long tally, long nowMs) {
+    sentMs = sentMs < 0 ? nowMs : sentMs;
     phase = Phase.SENT;
     sentTally = tally;
   }
--- a/src/main/java/org/ploverspindle/workers/ReportDesk.java
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -123,7 +123,7 @@
    * launch that goes this way may be executed late, so from here on the attempt counts as possibly
    * there until a report shows otherwise under a higher token, or the session ends.
    */
-  public Optional<Direct> direct(Machine m) {
+  public Optional<Direct> direct(Machine m, long nowMs) {
     if (!m.hears() || m.address().isEmpty() || !mayLaunch.get() || !fleet.fencesLeft()) {
       return Optional.empty();
     }
@@ -138,7 +138,7 @@
           && bytes + ReportCodec.size(launch) <= ReportCodec.MAX_ORDER_BYTES) {
         bytes += ReportCodec.size(launch);
         orders.add(launch);
-        p.sentDirectly(m.fence());
+        p.sentDirectly(m.fence(), nowMs);
         m.sentDirectly(p.attempt());
       }
     }
@@ -408,7 +408,7 @@
           return;
         }
         order(launch);
-        p.sent(report.tally());
+        p.sent(report.tally(), nowMs);
       }
     }
   }
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -20,6 +20,8 @@
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.node.Controller;
+import org.ploverspindle.peers.PeerRecord;
+import org.ploverspindle.peers.Peers;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Address;
 import org.ploverspindle.settings.Settings;
@@ -117,6 +119,7 @@
             new StoreLine(i, p),
             new CloudLine(i, p),
             new DirectLine(i, p),
+            new PeersLine(i),
             settings("n" + i, nodes, settings.zones()),
             policy,
             new SplittableRandom(random.nextLong()));
@@ -304,6 +307,38 @@
     }
   }
 
+  /** Hints between controllers: each may be lost. */
+  private final class PeersLine implements Peers {
+    private final int i;
+
+    PeersLine(int i) {
+      this.i = i;
+    }
+
+    @Override
+    public void tell(String member, PeerRecord record) {
+      int to = Integer.parseInt(member.substring(1));
+      if (to != i) {
+        network.request(
+            node(i),
+            member,
+            () -> {
+              if (alive(to)) {
+                controllers.get(to).heard(record);
+              }
+            },
+            () -> {});
+      }
+    }
+
+    @Override
+    public void tellAll(PeerRecord record) {
+      for (int to = 0; to < nodes; to++) {
+        tell(node(to), record);
+      }
+    }
+  }
+
   // ---- workers
 
   private SimWorker boot(Checker.Place place) {
