--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -39,8 +39,18 @@
   private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
   private static final int MAX_PER_RENTAL = 50;
   private static final int MAX_PER_RELEASE = 100;
+
+  /**
+   * Rentals of one group in one scan. The design has one; a fleet of hundreds would then take
+   * minutes to come up, as the cloud rents at most 50 machines at a time.
+   */
+  private static final int MAX_RENTALS_PER_SCAN = 4;
+
   private static final double QUIET_IDLE_S = 8;
 
+  /** For how many leases, in milliseconds of lease seconds, a machine may be deaf. */
+  private static final double DEAF_LEASES = 3_000;
+
   /** A type's machines of one kind in one zone. */
   record Group(int type, int zone, boolean spot) {}
 
@@ -365,12 +375,18 @@
       toRent.merge(new Group(w.type(), w.zone(), w.spot()), w.count(), Integer::sum);
     }
     toRent.forEach(
-        (g, n) -> rent(g, Math.min(MAX_PER_RENTAL, n), "work waits or a minimum is open"));
+        (g, n) -> {
+          int left = Math.min(n, MAX_PER_RENTAL * MAX_RENTALS_PER_SCAN);
+          for (; left > 0; left -= MAX_PER_RENTAL) {
+            rent(g, Math.min(MAX_PER_RENTAL, left), "work waits or a minimum is open");
+          }
+        });
   }
 
   private void offer(List<Demand.Offer> offers, Group g, int room) {
     if (room > 0 && !backedOff(g)) {
-      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, MAX_PER_RENTAL)));
+      int most = MAX_PER_RENTAL * MAX_RENTALS_PER_SCAN;
+      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, most)));
     }
   }
 
@@ -494,9 +510,24 @@
       }
       return false;
     }
+    if (m.empty() && isDeaf(m, now)) {
+      return true;
+    }
     return now > fleet.leaseOverMs(m) + 15_000 && m.empty() && mostReport(now);
   }
 
+  /**
+   * It reports and nothing we say reaches it: paid for and of no use. When many are like that, it
+   * is our own line that is broken.
+   */
+  private boolean isDeaf(Machine m, long now) {
+    if (m.deafSinceMs() < 0 || now - m.deafSinceMs() < settings.workers().leaseS() * DEAF_LEASES) {
+      return false;
+    }
+    long deaf = fleet.all().stream().filter(x -> x.deafSinceMs() >= 0).count();
+    return deaf * 2 <= fleet.all().size();
+  }
+
   /** When most machines are silent, it is we who are cut off, not they who died. */
   private boolean mostReport(long now) {
     int up = 0;
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -40,6 +40,7 @@
   private static final long BARRIER_LIMIT_MS = 1_400;
   private static final long CREATE_LIMIT_MS = 2_500;
   private static final int MOST_WAITING = 200;
+  private static final double REFUSED_COST = 2;
   private static final int MAX_VALUE_BYTES = 16 * 1024;
   private static final int MAX_TXN_BYTES = 56 * 1024;
 
@@ -298,11 +299,22 @@
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
     int bytes = 200;
-    while (!creations.isEmpty() && changes.size() < budget && bytes < MAX_TXN_BYTES - valueBytes) {
+    int most = 4 * settings.stateLimits().txnOps() - 3;
+    while (!creations.isEmpty()
+        && changes.size() < budget
+        && conditions.size() < most
+        && bytes < MAX_TXN_BYTES - valueBytes) {
       ObjectNode jobs = Cbor.map();
       int size = 2;
-      while (!creations.isEmpty() && size + creations.peek().bytes() <= valueBytes) {
+      while (!creations.isEmpty()
+          && conditions.size() < most
+          && size + creations.peek().bytes() <= valueBytes) {
         Creation c = creations.poll();
+        // Another node may have accepted it long ago, which this copy need not show yet: a job that
+        // was called done or cancelled must not be called queued for it.
+        conditions.add(new Condition(Keys.cancel(c.spec().uid()), 0));
+        conditions.add(new Condition(Keys.done(c.spec().uid()), 0));
+        bytes += 200;
         jobs.set(c.spec().uid(), c.value());
         size += c.bytes();
         batch.add(c);
@@ -324,6 +336,10 @@
 
   private void created(List<Creation> batch, TxnResult result) {
     creating = false;
+    if (result instanceof TxnResult.Conflict) {
+      barrier(ok -> batch.forEach(c -> afterConflict(c, ok)));
+      return;
+    }
     batch.forEach(c -> pending.remove(c.spec().uid()));
     if (result instanceof TxnResult.Committed) {
       LOG.debug(
@@ -336,6 +352,8 @@
       }
       changedForLeader.run();
     } else if (result instanceof TxnResult.Refused) {
+      // All nodes together ask for more than the service gives: the leader's writes go first.
+      writes.take(REFUSED_COST);
       batch.forEach(c -> c.answer(Answer.later(503, "the state service refuses", 1)));
     } else {
       // It may stand or may yet come to stand: only what is read back is said.
@@ -346,6 +364,18 @@
     }
   }
 
+  /** Some of the batch are over already and are answered so; the others are tried again. */
+  private void afterConflict(Creation c, boolean fresh) {
+    String uid = c.spec().uid();
+    if (fresh && specs.get(uid).isEmpty()) {
+      creations.addFirst(c);
+      planFlush(4);
+    } else {
+      pending.remove(uid);
+      c.answer(readBack(uid, fresh));
+    }
+  }
+
   private Answer readBack(String uid, boolean fresh) {
     return fresh ? state(uid).map(s -> Answer.of(200, s)).orElseGet(Intake::notNow) : notNow();
   }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,6 +1,5 @@
 package org.ploverspindle.leadership;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,6 +21,7 @@
 import org.ploverspindle.loop.DutyTimes;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.placement.Aims;
 import org.ploverspindle.placement.Arrivals;
 import org.ploverspindle.placement.Demand;
 import org.ploverspindle.placement.Estimates;
@@ -136,7 +136,7 @@
             teams,
             estimates,
             this::nextAttempt,
-            laterAims(with.settings()),
+            new Aims(with.settings().objectives()),
             Math.round(with.settings().workers().reportS() * 2_200 + 1_500),
             this::placed);
     this.rentals =
@@ -154,16 +154,6 @@
             new RentalHost());
   }
 
-  private static Map<String, Double> laterAims(Settings settings) {
-    Map<String, Double> aims = new HashMap<>();
-    for (Settings.Objective o : settings.objectives()) {
-      if (o.kind().equals("deadline") && o.times() > 1) {
-        aims.merge(o.jobClass(), o.times(), Math::max);
-      }
-    }
-    return aims;
-  }
-
   public void start() {
     long now = with.scheduler().nowMs();
     with.specs().uids().stream()
@@ -262,6 +252,7 @@
     if (!closed) {
       LOG.debug("job {} is here", spec.uid());
       jobs.add(spec).ifPresent(this::arrived);
+      rentals.scanSoon();
       planPlacing();
     }
   }
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -38,6 +38,8 @@
 public final class Controller implements Election.Listener, Door.Desk {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
+  private static final double ACCEPTING_SHARE = 0.12;
+
   private final Settings settings;
   private final Scheduler loop;
   private final Replica replica;
@@ -76,12 +78,13 @@
             Math.max(2, settings.stateLimits().writeRps() * 0.4));
     this.election = new Election(loop, store, replica, random, timing, settings.member(), this);
     // Submissions and cancellations have a share of their own on every node: on the leader they
-    // would wait behind what its own work is allowed.
+    // would wait behind what its own work is allowed. One change takes many submissions, so that
+    // the shares are seldom used up, and are not divided by the number of nodes.
     TokenBucket accepting =
         new TokenBucket(
             loop,
-            settings.stateLimits().writeRps() * 0.3 / settings.nodes(),
-            Math.max(2, settings.stateLimits().writeRps() / (2 * settings.nodes())));
+            Math.max(1, settings.stateLimits().writeRps() * ACCEPTING_SHARE),
+            Math.max(3, settings.stateLimits().writeRps() * ACCEPTING_SHARE));
     SpecIndex specs = new SpecIndex(replica);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
@@ -156,6 +159,10 @@
     election.resign();
   }
 
+  public boolean leads() {
+    return steward.isPresent();
+  }
+
   /** Can this node do its own part? Read from other threads. */
   public boolean ready() {
     return ready;
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -96,7 +96,7 @@
     }
     coresAllowed = coresNeeded(all, nowMs, wallMs) - have;
     for (Job job : waiting) {
-      serve(job, machines);
+      serve(job, machines, Placer.starves(job, wallMs));
     }
     expected.ifPresent(job -> keepRoom(job, machines));
     List<Wanted> wanted = new ArrayList<>();
@@ -167,7 +167,11 @@
     return covered;
   }
 
-  private void serve(Job job, List<Machine> machines) {
+  /**
+   * @param starves the cores that there are do not help this job, or it would have begun: what it
+   *     may run on is taken by others for long. It gets a machine whatever the sum says.
+   */
+  private void serve(Job job, List<Machine> machines, boolean starves) {
     int need = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
     for (Virtual v : coming) {
       if (need <= 0) {
@@ -181,6 +185,7 @@
         machines.stream().anyMatch(m -> Placer.allows(job, m))
             || coming.stream()
                 .anyMatch(v -> allowed(job, v.what.type(), v.what.zone(), v.what.spot()));
+    anywhere &= !starves;
     while (need > 0 && (coresAllowed > 0 || !anywhere)) {
       Optional<OpenOffer> offer = cheapest(job, need);
       if (offer.isEmpty()) {
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import org.ploverspindle.cloud.Catalogue;
@@ -28,6 +27,21 @@
   /** How many cores of room a second of fetching is worth when a machine is chosen. */
   private static final double CORES_PER_FETCH_S = 2;
 
+  /** The same for a job that should start at once: any machine that has its image comes first. */
+  private static final double CORES_PER_FETCH_S_PROMPT = 200;
+
+  /**
+   * Jobs that wait for longer have a share of the cores of their own. Triage serves who can still
+   * be in time, and under a lasting overload what stepped back for them, the largest above all,
+   * would never begin; nor would a lower urgency below one that never ends.
+   */
+  static final long PATIENCE_MS = 120_000;
+
+  private static final double PATIENCE_SHARE = 0.2;
+
+  /** One part of so many of its tasks goes first when nothing of a job has begun. */
+  private static final int BEGIN_PART = 8;
+
   /** Part of its estimate by which a task may well be shorter. */
   private static final double DOUBT = 0.4;
 
@@ -37,13 +51,13 @@
   private final TeamUsage teams;
   private final Estimates estimates;
   private final LongSupplier nextAttempt;
-  private final Map<String, Double> laterAims;
+  private final Aims aims;
   private final long silenceMs;
   private final Listener listener;
+  private final List<Placement> servedForPatience = new ArrayList<>();
 
   /**
-   * @param laterAims for classes whose aims allow some jobs a multiple of their due time, that
-   *     multiple
+   * @param aims what the operators expect of the classes
    */
   public Placer(
       Catalogue catalogue,
@@ -52,7 +66,7 @@
       TeamUsage teams,
       Estimates estimates,
       LongSupplier nextAttempt,
-      Map<String, Double> laterAims,
+      Aims aims,
       long silenceMs,
       Listener listener) {
     this.catalogue = catalogue;
@@ -61,7 +75,7 @@
     this.teams = teams;
     this.estimates = estimates;
     this.nextAttempt = nextAttempt;
-    this.laterAims = laterAims;
+    this.aims = aims;
     this.silenceMs = silenceMs;
     this.listener = listener;
   }
@@ -99,7 +113,7 @@
     if (slackS >= least) {
       return OptionalDouble.of(slackS);
     }
-    double times = laterAims.getOrDefault(job.spec().jobClass(), 1.0);
+    double times = aims.laterTimes(job);
     double laterS = slackS + (times - 1) * job.spec().dueS().orElse(0);
     return laterS >= least && times > 1 ? OptionalDouble.of(laterS) : OptionalDouble.empty();
   }
@@ -116,9 +130,65 @@
     if (withRoom.isEmpty()) {
       return;
     }
-    for (Job job : waitingJobs(nowMs, wallMs)) {
-      place(job, withRoom, nowMs);
+    List<Job> waiting = waitingJobs(nowMs, wallMs);
+    servePatient(waiting, withRoom, nowMs, wallMs);
+    for (Job job : waiting) {
+      place(job, withRoom, nowMs, Integer.MAX_VALUE);
+    }
+  }
+
+  /**
+   * Who has waited long, within a share of the cores: first those of which nothing has begun, the
+   * largest first, as triage never takes them; then the oldest.
+   */
+  private void servePatient(List<Job> waiting, List<Machine> withRoom, long nowMs, long wallMs) {
+    List<Job> patient = new ArrayList<>();
+    for (Job job : waiting) {
+      if (wallMs - job.acceptedWallMs() > PATIENCE_MS) {
+        patient.add(job);
+      }
+    }
+    if (patient.isEmpty()) {
+      return;
+    }
+    servedForPatience.removeIf(p -> p.job().liveAt(p.task()) != p);
+    double share = 0;
+    for (Machine m : fleet.all()) {
+      share += m.usable(nowMs, silenceMs) ? m.size().cores() * PATIENCE_SHARE : 0;
+    }
+    for (Placement p : servedForPatience) {
+      share -= p.job().perTask().cores();
     }
+    patient.sort(
+        Comparator.comparing((Job j) -> !starves(j, wallMs))
+            .thenComparingDouble(j -> starves(j, wallMs) ? -work(j) : j.acceptedWallMs())
+            .thenComparing(Job::uid));
+    for (Job job : patient) {
+      double each = Math.max(1, job.perTask().cores());
+      int most = (int) Math.min(Integer.MAX_VALUE, share / each);
+      if (servedForPatience.isEmpty()) {
+        most = Math.max(1, most);
+      }
+      if (starves(job, wallMs)) {
+        most = Math.min(most, 1 + job.spec().tasks() / BEGIN_PART);
+      }
+      if (most > 0) {
+        List<Placement> placed = place(job, withRoom, nowMs, most);
+        servedForPatience.addAll(placed);
+        share -= placed.size() * each;
+      }
+    }
+  }
+
+  private double work(Job job) {
+    return job.spec().tasks() * job.perTask().cores() * estimates.runS(job);
+  }
+
+  /** Nothing of it has begun for too long. */
+  static boolean starves(Job job, long wallMs) {
+    return job.live().isEmpty()
+        && job.done().isEmpty()
+        && wallMs - job.acceptedWallMs() > PATIENCE_MS;
   }
 
   /** Makes room for pressing jobs that found none; says how many tasks are stopped for them. */
@@ -127,10 +197,11 @@
         .run(waitingJobs(nowMs, wallMs), nowMs);
   }
 
-  private void place(Job job, List<Machine> usable, long nowMs) {
+  private List<Placement> place(Job job, List<Machine> usable, long nowMs, int most) {
     List<Placement> placed = new ArrayList<>();
     int task = nextTask(job, 0, nowMs);
-    while (task >= 0 && teams.room(job.team(), job.perTask()) > 0) {
+    int limit = job.spec().shape() == Shape.GANG ? Integer.MAX_VALUE : most;
+    while (task >= 0 && placed.size() < limit && teams.room(job.team(), job.perTask()) > 0) {
       Machine best = best(job, usable);
       if (best == null) {
         break;
@@ -144,14 +215,18 @@
         fleet.place(p);
         placed.add(p);
         task = nextTask(job, task + 1, nowMs);
-      } while (task >= 0 && teams.room(job.team(), job.perTask()) > 0 && takes(job, best));
+      } while (task >= 0
+          && placed.size() < limit
+          && teams.room(job.team(), job.perTask()) > 0
+          && takes(job, best));
     }
     if (job.spec().shape() == Shape.GANG && !job.waiting().isEmpty()) {
       // Part of a gang would hold its room and wait for the rest. Nothing was recorded or sent yet.
       placed.forEach(p -> fleet.gone(p, nowMs));
-    } else {
-      placed.forEach(listener::placed);
+      return List.of();
     }
+    placed.forEach(listener::placed);
+    return placed;
   }
 
   private static int nextTask(Job job, int from, long nowMs) {
@@ -170,6 +245,7 @@
   private Machine best(Job job, List<Machine> usable) {
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
+    double perFetchS = aims.prompt(job) ? CORES_PER_FETCH_S_PROMPT : CORES_PER_FETCH_S;
     for (Machine m : usable) {
       if (!takes(job, m)) {
         continue;
@@ -178,7 +254,7 @@
           m.hasImage(job.spec().image())
               ? 0
               : job.spec().imageGb() / Math.max(0.01, catalogue.type(m.type()).fetchGbPerS());
-      double score = m.free().cores() / 1000.0 + fetchS * CORES_PER_FETCH_S;
+      double score = m.free().cores() / 1000.0 + fetchS * perFetchS;
       if (score < bestScore) {
         bestScore = score;
         best = m;
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -1,6 +1,7 @@
 package org.ploverspindle.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
@@ -23,18 +24,25 @@
 
   private static final double SPARE_S = 6;
 
+  /** A replica runs until it is cancelled: its cores come free for nobody. */
+  private static final double FOR_EVER_S = 1e7;
+
   private final Function<Job, OptionalDouble> openSlackS;
   private final Estimates estimates;
   private final long nowMs;
-  private final List<Busy> busy = new ArrayList<>();
 
   /** Cores that come free after so many seconds. */
   private record Busy(double cores, double forS) {}
 
+  private final double[] freeAtS;
+  private final double[] coresBefore;
+  private final double[] coreSecondsBefore;
+
   Triage(Function<Job, OptionalDouble> openSlackS, Fleet fleet, Estimates estimates, long nowMs) {
     this.openSlackS = openSlackS;
     this.estimates = estimates;
     this.nowMs = nowMs;
+    List<Busy> busy = new ArrayList<>();
     for (Machine m : fleet.all()) {
       if (m.usable(nowMs, 60_000)) {
         busy.add(new Busy(m.free().cores(), 0));
@@ -43,9 +51,23 @@
         }
       }
     }
+    // Sums by the time at which cores come free: the capacity is asked for once for every job.
+    busy.sort(Comparator.comparingDouble(Busy::forS));
+    freeAtS = new double[busy.size()];
+    coresBefore = new double[busy.size() + 1];
+    coreSecondsBefore = new double[busy.size() + 1];
+    for (int i = 0; i < busy.size(); i++) {
+      Busy b = busy.get(i);
+      freeAtS[i] = b.forS();
+      coresBefore[i + 1] = coresBefore[i] + b.cores();
+      coreSecondsBefore[i + 1] = coreSecondsBefore[i] + b.cores() * b.forS();
+    }
   }
 
   private double restS(Placement p) {
+    if (p.job().spec().expectedS() <= 0) {
+      return FOR_EVER_S;
+    }
     double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
     double runS = estimates.runS(p.job());
     return Math.max(runS * 0.2, runS - ranS);
@@ -53,11 +75,9 @@
 
   /** Work that the machines can take on within the time, beside what they run now. */
   private double capacity(double withinS) {
-    double sum = 0;
-    for (Busy b : busy) {
-      sum += b.cores() * Math.max(0, withinS - b.forS());
-    }
-    return sum;
+    int at = Arrays.binarySearch(freeAtS, withinS);
+    int n = at < 0 ? -at - 1 : at;
+    return coresBefore[n] * withinS - coreSecondsBefore[n];
   }
 
   /** Core seconds of the job's waiting tasks. */
--- a/src/main/java/org/ploverspindle/settings/Settings.java
+++ b/src/main/java/org/ploverspindle/settings/Settings.java
@@ -29,7 +29,8 @@
       String name, double cores, double coresMax, double accelerators, double acceleratorsMax) {}
 
   /** An aim, for display and for the order of work. */
-  public record Objective(String kind, String jobClass, double share, double times) {}
+  public record Objective(
+      String kind, String jobClass, double share, double times, double withinS) {}
 
   public record WorkerLimits(double reportS, double leaseS, double cancelS) {}
 
--- a/src/main/java/org/ploverspindle/settings/SettingsFile.java
+++ b/src/main/java/org/ploverspindle/settings/SettingsFile.java
@@ -186,7 +186,8 @@
               text(o, "params.objectives.kind"),
               o.path("class").asText(""),
               o.path("share").asDouble(0),
-              o.path("times").asDouble(1)));
+              o.path("times").asDouble(1),
+              o.path("within_s").asDouble(0)));
     }
     return objectives;
   }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/peers/PeerCodecTest.java
@@ -0,0 +1,73 @@
+package org.ploverspindle.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+  private static final List<PeerRecord> ALL =
+      List.of(
+          new PeerRecord.Leading("n-1", 1L << 40),
+          new PeerRecord.Resigned("n-2", 7),
+          new PeerRecord.News("a controller with a long name"));
+
+  /** Records come in pieces of any size, as TCP has it. */
+  @Test
+  void recordsSurviveAnyCutOfTheStream() throws PeerCodec.Broken {
+    Random random = new Random(1);
+    List<PeerRecord> sent = new ArrayList<>();
+    List<PeerRecord> got = new ArrayList<>();
+    ByteBuffer received = ByteBuffer.allocate(2 * PeerCodec.MAX_LENGTH);
+    for (int i = 0; i < 500; i++) {
+      PeerRecord record = ALL.get(random.nextInt(ALL.size()));
+      sent.add(record);
+      byte[] frame = PeerCodec.encode(record);
+      for (int from = 0; from < frame.length; ) {
+        int n = Math.min(frame.length - from, 1 + random.nextInt(20));
+        received.put(frame, from, n);
+        from += n;
+        received.flip();
+        for (int l = PeerCodec.wholeFrame(received); l >= 0; l = PeerCodec.wholeFrame(received)) {
+          PeerCodec.take(received, l).ifPresent(got::add);
+        }
+        received.compact();
+      }
+    }
+    assertEquals(sent, got);
+  }
+
+  @Test
+  void anotherVersionOrKindIsPassedOver() throws PeerCodec.Broken {
+    byte[] frame = PeerCodec.encode(ALL.get(0));
+    frame[4] = 99;
+    ByteBuffer received = ByteBuffer.wrap(frame);
+    assertEquals(
+        Optional.empty(), PeerCodec.take(received, PeerCodec.wholeFrame(received)), "version");
+    frame = PeerCodec.encode(ALL.get(0));
+    frame[5] = 99;
+    ByteBuffer kind = ByteBuffer.wrap(frame);
+    assertEquals(Optional.empty(), PeerCodec.take(kind, PeerCodec.wholeFrame(kind)), "kind");
+    assertTrue(!kind.hasRemaining());
+  }
+
+  @Test
+  void whatIsNotOursEndsTheConnection() {
+    ByteBuffer http = ByteBuffer.wrap("GET / HTTP/1.1\r\n\r\n".getBytes());
+    assertThrows(PeerCodec.Broken.class, () -> PeerCodec.wholeFrame(http));
+    byte[] frame = PeerCodec.encode(ALL.get(0));
+    frame[7] = (byte) 200;
+    assertThrows(
+        PeerCodec.Broken.class,
+        () -> {
+          ByteBuffer received = ByteBuffer.wrap(frame);
+          PeerCodec.take(received, PeerCodec.wholeFrame(received));
+        });
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -23,7 +23,9 @@
     FORGOTTEN,
     INVENTED,
     NOT_DONE,
-    WENT_BACK
+    WENT_BACK,
+    UNANSWERED,
+    STARVED
   }
 
   record Broken(Rule rule, long atMs, String what) {}
@@ -33,6 +35,9 @@
   private static final class JobSeen {
     private final JobSpec spec;
     private long acceptedMs = Long.MAX_VALUE;
+    private long submittedMs;
+    private long begunMs = -1;
+    private long askedSinceMs = -1;
     private boolean cancelAsked;
     private long cancelToldMs = -1;
     private String finalWord = "";
@@ -50,6 +55,13 @@
   private final Map<String, JobSeen> jobs = new HashMap<>();
   private final List<Broken> broken = new ArrayList<>();
   private int starts;
+  private long troublesOverMs = -1;
+
+  /** A job about which nothing is answered for this long once all is well counts as forgotten. */
+  private static final long UNANSWERED_MS = 75_000;
+
+  /** The largest jobs of a class are to begin within this. */
+  private static final long BEGIN_MS = 240_000;
 
   Checker(SimClock clock, Settings settings) {
     this.clock = clock;
@@ -73,7 +85,93 @@
   }
 
   void submitted(JobSpec spec) {
-    jobs.putIfAbsent(spec.uid(), new JobSeen(spec));
+    JobSeen seen = new JobSeen(spec);
+    seen.submittedMs = clock.nowMs();
+    jobs.putIfAbsent(spec.uid(), seen);
+  }
+
+  void troublesAreOver() {
+    troublesOverMs = clock.nowMs();
+    jobs.values().forEach(j -> j.askedSinceMs = -1);
+  }
+
+  /** A user asks about a job; the question may go unanswered. */
+  void asked(String uid) {
+    JobSeen job = jobs.get(uid);
+    if (job != null && job.askedSinceMs < 0) {
+      job.askedSinceMs = clock.nowMs();
+    }
+  }
+
+  private void lookForUnanswered() {
+    if (troublesOverMs < 0) {
+      return;
+    }
+    for (JobSeen job : jobs.values()) {
+      if (job.acceptedMs <= clock.nowMs()
+          && !job.cancelAsked
+          && job.askedSinceMs >= 0
+          && clock.nowMs() - Math.max(troublesOverMs, job.askedSinceMs) > UNANSWERED_MS) {
+        report(Rule.UNANSWERED, job.spec.uid());
+        job.askedSinceMs = -1;
+      }
+    }
+  }
+
+  /**
+   * At the end: of each class, of each team, and of the largest jobs of each class at least half is
+   * served, and the largest began in time. Cancelled jobs count for nobody.
+   */
+  void endOfDay() {
+    Map<String, List<JobSeen>> groups = new LinkedHashMap<>();
+    Map<String, Integer> largest = new HashMap<>();
+    for (JobSeen job : jobs.values()) {
+      largest.merge(job.spec.jobClass(), job.spec.tasks(), Math::max);
+    }
+    for (JobSeen job : jobs.values()) {
+      if (job.cancelAsked || job.acceptedMs == Long.MAX_VALUE) {
+        continue;
+      }
+      String jobClass = job.spec.jobClass();
+      groups.computeIfAbsent("class " + jobClass, k -> new ArrayList<>()).add(job);
+      groups.computeIfAbsent("team " + job.spec.team(), k -> new ArrayList<>()).add(job);
+      if (job.spec.tasks() * 2 >= largest.get(jobClass)) {
+        groups.computeIfAbsent("largest of " + jobClass, k -> new ArrayList<>()).add(job);
+        if (job.begunMs < 0 || job.begunMs - job.submittedMs > BEGIN_MS) {
+          report(Rule.STARVED, job.spec.uid() + ", one of the largest, began at " + job.begunMs);
+        }
+      }
+    }
+    groups.forEach(
+        (name, members) -> {
+          long served =
+              members.stream()
+                  .filter(j -> j.spec.expectedS() > 0 ? allDone(j) : j.begunMs >= 0)
+                  .count();
+          if (served * 2 < members.size()) {
+            report(Rule.STARVED, name + ": " + served + " of " + members.size() + " served");
+          }
+        });
+  }
+
+  private static boolean allDone(JobSeen job) {
+    return job.done.size() == job.spec.tasks();
+  }
+
+  /** When the job's first task began, or -1. */
+  long begunMs(String uid) {
+    return jobs.get(uid).begunMs;
+  }
+
+  boolean isDone(String uid) {
+    return allDone(jobs.get(uid));
+  }
+
+  /** Accepted jobs that nobody cancelled and that have not begun. */
+  long neverBegun() {
+    return jobs.values().stream()
+        .filter(j -> j.acceptedMs < Long.MAX_VALUE && !j.cancelAsked && j.begunMs < 0)
+        .count();
   }
 
   void cancelAsked(String uid) {
@@ -87,6 +185,7 @@
   void starts(String uid, int task, Place place) {
     starts++;
     JobSeen job = jobs.get(uid);
+    job.begunMs = job.begunMs < 0 ? clock.nowMs() : job.begunMs;
     Place other = job.on.get(task);
     if (other != null) {
       report(Rule.RAN_TWICE, uid + "/" + task + " starts on " + place + " while on " + other);
@@ -134,6 +233,7 @@
 
   /** Looked at now and then: whatever is on a machine too long after its cancellation. */
   void look() {
+    lookForUnanswered();
     for (JobSeen job : jobs.values()) {
       if (job.cancelToldMs >= 0
           && !job.on.isEmpty()
@@ -163,6 +263,7 @@
     if (status != 200 && status != 201) {
       return;
     }
+    job.askedSinceMs = -1;
     job.acceptedMs = Math.min(job.acceptedMs, clock.nowMs());
     boolean over = state.equals("done") || state.equals("aborted");
     if ((askedMs >= job.finalMs || over && !job.finalWord.isEmpty())
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -147,4 +147,63 @@
     checker.told("run-1", 200, "aborted", false, clock.nowMs());
     only(Checker.Rule.WENT_BACK);
   }
+
+  @Test
+  void reportsAJobOfWhichNoQuestionIsAnswered() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
+    clock.runUntil(10_000);
+    checker.troublesAreOver();
+    checker.asked("run-1");
+    clock.runUntil(84_000);
+    checker.look();
+    assertEquals(List.of(), checker.broken());
+    clock.runUntil(86_000);
+    checker.look();
+    only(Checker.Rule.UNANSWERED);
+  }
+
+  @Test
+  void anAnswerEndsTheTimeWithoutOne() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
+    checker.troublesAreOver();
+    for (int t = 1; t <= 4; t++) {
+      checker.asked("run-1");
+      clock.runUntil(60_000 * t);
+      checker.told("run-1", 200, "queued", false, clock.nowMs());
+      checker.look();
+    }
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void reportsAClassOfWhichTooLittleIsServed() {
+    for (String uid : List.of("run-1", "run-2", "run-3")) {
+      checker.submitted(spec(uid, 1, false, false));
+      checker.told(uid, 201, "queued", true, clock.nowMs());
+      checker.starts(uid, 0, A);
+      checker.leaves(uid, 0, A);
+    }
+    checker.completes("run-1", 0);
+    checker.completes("run-1", 1);
+    checker.endOfDay();
+    assertEquals(
+        List.of(Checker.Rule.STARVED, Checker.Rule.STARVED, Checker.Rule.STARVED),
+        checker.broken().stream().map(Checker.Broken::rule).toList(),
+        "its class, its team, and its largest");
+  }
+
+  @Test
+  void reportsALargestJobThatBeginsTooLate() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
+    clock.runUntil(240_001);
+    for (int task = 0; task < 2; task++) {
+      checker.starts("run-1", task, A);
+      checker.completes("run-1", task);
+    }
+    checker.endOfDay();
+    only(Checker.Rule.STARVED);
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/EndOfDayTest.java
@@ -0,0 +1,220 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+
+/** What is asked at the end of a day, each under the trouble that would break it. */
+class EndOfDayTest {
+  private static final int NODES = 3;
+
+  static JobSpec job(
+      World w, String jobClass, Urgency urgency, int tasks, double cores, double s, double dueS) {
+    return new JobSpec(
+        w.newUid(),
+        jobClass,
+        "blue",
+        Shape.BATCH,
+        urgency,
+        tasks,
+        cores,
+        0,
+        1,
+        Optional.empty(),
+        Optional.empty(),
+        false,
+        false,
+        true,
+        "image",
+        0.1,
+        s,
+        0,
+        0,
+        dueS > 0 ? OptionalDouble.of(dueS) : OptionalDouble.empty());
+  }
+
+  private static void assertRulesKept(World w) {
+    w.checker.endOfDay();
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(0, w.checker.neverBegun());
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void everyJobIsKnownAndRunsAfterAllControllersRestartAtOnce(long seed) {
+    World w = new World(seed, NODES, 14, List.of("a"));
+    for (int i = 0; i < 700; i++) {
+      w.clock.at(3_000 + i * 90, () -> w.user(job(w, "small", Urgency.NORMAL, 1, 0.1, 1, 0)));
+    }
+    for (int i = 0; i < 60; i++) {
+      w.clock.at(60_000 + i * 60, () -> w.user(job(w, "long", Urgency.NORMAL, 10, 0.5, 30, 0)));
+    }
+    w.clock.at(70_000, () -> IntStream.range(0, NODES).forEach(n -> w.crash(n, 50 + 900 * n)));
+    w.clock.at(72_500, w::troublesAreOver);
+    w.clock.runUntil(300_000);
+    assertRulesKept(w);
+    assertTrue(w.checker.jobsDone() >= 755, w.checker.jobsDone() + " jobs done");
+  }
+
+  @Test
+  void theLargestJobBeginsAlthoughSmallOnesCouldAlwaysStillBeInTime() {
+    World w = new World(4, NODES, 10, List.of("a"));
+    w.clock.at(3_000, () -> w.user(job(w, "array", Urgency.NORMAL, 60, 4, 20, 15)));
+    for (int i = 0; i < 300; i++) {
+      w.clock.at(3_000 + i * 1_000, () -> w.user(job(w, "array", Urgency.NORMAL, 3, 4, 12, 30)));
+    }
+    w.clock.runUntil(300_000);
+    long begun = w.checker.begunMs("run-000000");
+    assertTrue(begun >= 0 && begun <= 240_000, "the largest began at " + begun);
+    w.clock.runUntil(1_500_000);
+    assertRulesKept(w);
+    assertEquals(301, w.checker.jobsDone());
+  }
+
+  @Test
+  void aLowUrgencyBeginsBelowOneThatNeverEnds() {
+    World w = new World(5, NODES, 2, List.of("a"));
+    for (int i = 0; i < 300; i++) {
+      w.clock.at(3_000 + i * 1_000, () -> w.user(job(w, "urgent", Urgency.HIGH, 4, 4, 10, 60)));
+    }
+    JobSpec[] low = new JobSpec[1];
+    w.clock.at(
+        10_000,
+        () -> {
+          low[0] = job(w, "archive", Urgency.BEST_EFFORT, 8, 4, 10, 0);
+          w.user(low[0]);
+        });
+    w.clock.runUntil(280_000);
+    long begun = w.checker.begunMs(low[0].uid());
+    assertTrue(begun >= 0 && begun <= 250_000, "it began at " + begun);
+  }
+
+  @Test
+  void aMachineThatIsNotReachedDrawsNoWorkAndItsTasksRunElsewhere() {
+    World w = new World(6, NODES, 14, List.of("a"));
+    for (int i = 0; i < 120; i++) {
+      w.clock.at(3_000 + i * 1_000, () -> w.user(job(w, "a", Urgency.NORMAL, 4, 1, 5, 0)));
+    }
+    List<SimWorker> deaf = new ArrayList<>();
+    w.clock.at(
+        40_000,
+        () -> {
+          deaf.addAll(w.cloud.workers().subList(0, 2));
+          deaf.forEach(x -> w.network.deaf(x.host(), true));
+        });
+    w.clock.at(70_000, () -> w.network.deaf(deaf.get(0).host(), false));
+    w.clock.at(72_000, w::troublesAreOver);
+    w.clock.runUntil(400_000);
+    assertRulesKept(w);
+    assertEquals(120, w.checker.jobsDone());
+    for (SimWorker x : deaf) {
+      int lost = w.launchesLostTo(x.host());
+      assertTrue(lost <= 16, lost + " launches were lost to " + x.host());
+    }
+    assertTrue(deaf.get(1).gone(), "a machine that never hears again is returned");
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void lateCopiesOfReportsAreNotBelieved(long seed) {
+    World w = new World(seed, NODES, 14, List.of("a"));
+    w.network.copyShare(0.5);
+    for (int i = 0; i < 100; i++) {
+      w.clock.at(3_000 + i * 1_200, () -> w.user(job(w, "a", Urgency.HIGH, 6, 1, 6, 0)));
+    }
+    Random r = new Random(seed);
+    for (int t = 20_000; t < 120_000; t += 12_000) {
+      w.clock.at(t, () -> w.crash(r.nextInt(NODES), 100 + r.nextInt(3_000)));
+      w.clock.at(
+          t + 5_000,
+          () -> {
+            List<SimWorker> all = w.cloud.workers();
+            if (!all.isEmpty()) {
+              w.cloud.die(all.get(r.nextInt(all.size())).host());
+            }
+          });
+    }
+    w.clock.at(130_000, w::troublesAreOver);
+    w.clock.runUntil(400_000);
+    assertRulesKept(w);
+    assertEquals(100, w.checker.jobsDone());
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void aLeaderThatOnlyItsWorkersReachDoesNotKeepACancelledJobAlive(long seed) {
+    World w = new World(seed, NODES, 14, List.of("a"));
+    JobSpec[] spec = new JobSpec[2];
+    w.clock.at(
+        3_000,
+        () -> {
+          spec[0] = job(w, "a", Urgency.NORMAL, 8, 1, 200, 0);
+          spec[1] = job(w, "a", Urgency.NORMAL, 8, 1, 60, 0);
+          w.user(spec[0]);
+          w.user(spec[1]);
+        });
+    w.clock.at(
+        30_000,
+        () -> {
+          int leader = w.leader();
+          assertTrue(leader >= 0 && w.checker.begunMs(spec[0].uid()) >= 0);
+          w.network.cut("n" + leader, World.STATE, true);
+          for (int i = 0; i < NODES; i++) {
+            w.network.cut("n" + leader, "n" + i, true);
+          }
+          w.clock.at(500, () -> w.cancel(spec[0].uid(), 0));
+          w.clock.at(
+              60_000,
+              () -> {
+                w.network.cut("n" + leader, World.STATE, false);
+                for (int i = 0; i < NODES; i++) {
+                  w.network.cut("n" + leader, "n" + i, false);
+                }
+                w.troublesAreOver();
+              });
+        });
+    w.clock.runUntil(300_000);
+    assertRulesKept(w);
+    assertTrue(w.checker.isDone(spec[1].uid()), "the other job is served by the next leader");
+    assertFalse(w.checker.isDone(spec[0].uid()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void processesBackWithinAFractionOfASecondAlsoInMidElection(long seed) {
+    World w = new World(seed, NODES, 14, List.of("a"));
+    for (int i = 0; i < 60; i++) {
+      w.clock.at(3_000 + i * 1_000, () -> w.user(job(w, "a", Urgency.HIGH, 4, 1, 5, 0)));
+    }
+    Random r = new Random(seed);
+    w.network.lateShare(0.1);
+    for (int t = 15_000; t < 60_000; t += 9_000) {
+      w.clock.at(t, () -> w.crash(Math.max(0, w.leader()), 20 + r.nextInt(300)));
+      for (int again = 0; again < 3; again++) {
+        w.clock.at(t + r.nextInt(6_000), () -> w.crash(r.nextInt(NODES), 20 + r.nextInt(300)));
+      }
+    }
+    w.clock.at(
+        65_000,
+        () -> {
+          w.network.lateShare(0);
+          w.troublesAreOver();
+        });
+    w.clock.runUntil(300_000);
+    assertRulesKept(w);
+    assertEquals(60, w.checker.jobsDone());
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -51,7 +51,7 @@
     Random r = w.random;
     int node = r.nextInt(NODES);
     long forMs = 1_000 + r.nextInt(30_000);
-    switch (r.nextInt(11)) {
+    switch (r.nextInt(15)) {
       case 0 -> w.crash(node, 100 + r.nextInt(4_000));
       case 1 -> {
         for (int i = 0; i < NODES; i++) {
@@ -100,6 +100,34 @@
           }
         }
       }
+      case 10 -> {
+        List<SimWorker> all = w.cloud.workers();
+        if (!all.isEmpty()) {
+          SimWorker x = all.get(r.nextInt(all.size()));
+          w.network.deaf(x.host(), true);
+          w.clock.at(forMs, () -> w.network.deaf(x.host(), false));
+        }
+      }
+      case 11 -> {
+        w.network.copyShare(0.05 + r.nextDouble() * 0.3);
+        w.clock.at(forMs, () -> w.network.copyShare(0));
+      }
+      case 12 -> {
+        cutFor(w, "n" + node, World.STATE, forMs);
+        for (int i = 0; i < NODES; i++) {
+          cutFor(w, "n" + node, "n" + i, forMs);
+        }
+      }
+      case 13 -> {
+        // Back within a fraction of a second, and again while the others still elect.
+        w.crash(node, 20 + r.nextInt(400));
+        w.clock.at(
+            500 + r.nextInt(6_000),
+            () -> {
+              w.crash(r.nextInt(NODES), 20 + r.nextInt(300));
+              w.crash(r.nextInt(NODES), 20 + r.nextInt(300));
+            });
+      }
       default -> {
         w.network.lateShare(0.05 + r.nextDouble() * 0.2);
         w.clock.at(forMs, () -> w.network.lateShare(0));
@@ -130,16 +158,19 @@
     for (int i = 0; i < troubles; i++) {
       w.clock.at(10_000 + r.nextInt(190_000), () -> trouble(w));
     }
+    w.clock.at(240_000, w::troublesAreOver);
     w.clock.runUntil(420_000);
+    w.checker.endOfDay();
     return w;
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 101})
   void rulesHoldUnderRandomTroubles(long seed) {
     World w = play(seed, 14);
     assertEquals(List.of(), w.checker.broken(), "seed " + seed);
     assertTrue(w.checker.starts() > 50, "seed " + seed + ": " + w.checker.starts() + " starts");
+    assertEquals(0, w.checker.neverBegun(), "seed " + seed + ": accepted jobs never began");
   }
 
   @Test
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -9,7 +9,9 @@
   private final SimClock clock;
   private final Random random;
   private final Set<String> cut = new HashSet<>();
+  private final Set<String> deaf = new HashSet<>();
   private double lateShare;
+  private double copyShare;
 
   SimNetwork(SimClock clock, Random random) {
     this.clock = clock;
@@ -21,6 +23,28 @@
     lateShare = share;
   }
 
+  /** What the host says arrives; what it is told does not. */
+  void deaf(String host, boolean now) {
+    if (now) {
+      deaf.add(host);
+    } else {
+      deaf.remove(host);
+    }
+  }
+
+  boolean hears(String host) {
+    return !deaf.contains(host);
+  }
+
+  /** Part of the reports come a second time, late. */
+  void copyShare(double share) {
+    copyShare = share;
+  }
+
+  boolean copied() {
+    return copyShare > 0 && random.nextDouble() < copyShare;
+  }
+
   void cut(String a, String b, boolean now) {
     String pair = a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
     if (now) {
@@ -40,7 +64,9 @@
    */
   void request(String from, String to, Runnable deliver, Runnable lost) {
     long delay = 1 + random.nextInt(15);
-    if (!reaches(from, to)) {
+    if (!hears(to)) {
+      lost.run();
+    } else if (!reaches(from, to)) {
       if (random.nextInt(3) == 0) {
         clock.at(3_000 + random.nextInt(60_000), deliver);
       }
@@ -55,7 +81,7 @@
 
   /** Sends an answer; false when it can't arrive. */
   boolean answer(String from, String to, Runnable deliver) {
-    if (!reaches(from, to) || random.nextDouble() < lateShare) {
+    if (!hears(to) || !reaches(from, to) || random.nextDouble() < lateShare) {
       return false;
     }
     clock.at(1 + random.nextInt(15), deliver);
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -5,11 +5,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -49,6 +51,7 @@
   private final Map<String, JobSpec> specs = new HashMap<>();
   private final List<SimClock.Process> processes = new ArrayList<>();
   private final List<Controller> controllers = new ArrayList<>();
+  private final Map<String, Set<Long>> lostLaunches = new HashMap<>();
   private int jobCounter;
 
   World(long seed, int nodes, int capacity, List<String> zones) {
@@ -127,6 +130,16 @@
     p.schedule(0, c::start);
   }
 
+  /** The node that leads, or -1. */
+  int leader() {
+    for (int i = 0; i < nodes; i++) {
+      if (alive(i) && controllers.get(i).leads()) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
   boolean alive(int i) {
     return !processes.get(i).dead();
   }
@@ -356,6 +369,17 @@
 
   private void report(SimWorker from, int to, Report report, long serial) {
     byte[] body = encode(report);
+    if (network.copied()) {
+      // From a moment to well over a lease later, to whichever node the packets were held for.
+      int late = random.nextInt(nodes);
+      clock.at(
+          200 + random.nextInt((int) (settings.workers().leaseS() * 4_000)),
+          () -> {
+            if (alive(late)) {
+              controllers.get(late).checkin(body, answer -> {});
+            }
+          });
+    }
     network.request(
         from.host(),
         node(to),
@@ -370,6 +394,7 @@
               .checkin(
                   body,
                   answer -> {
+                    countLost(from.host(), answer);
                     if (!p.dead()) {
                       network.answer(node(to), from.host(), () -> answered(from, serial, answer));
                     }
@@ -378,6 +403,21 @@
         () -> {});
   }
 
+  private void countLost(String host, Answer answer) {
+    if (!network.hears(host)) {
+      for (JsonNode o : Cbor.readMap(answer.body()).orElse(Cbor.map()).path("orders")) {
+        if (o.path("verb").asText().equals("launch")) {
+          lostLaunches.computeIfAbsent(host, h -> new HashSet<>()).add(o.path("try").asLong());
+        }
+      }
+    }
+  }
+
+  /** How many attempts were ordered from a machine while it could not hear. */
+  int launchesLostTo(String host) {
+    return lostLaunches.getOrDefault(host, Set.of()).size();
+  }
+
   private void answered(SimWorker to, long serial, Answer answer) {
     ObjectNode body = Cbor.readMap(answer.body()).orElse(Cbor.map());
     if (answer.status() == 200) {
@@ -420,6 +460,11 @@
     return Cbor.write(b);
   }
 
+  /** From now on all that was broken works again; what users ask is to be answered. */
+  void troublesAreOver() {
+    checker.troublesAreOver();
+  }
+
   // ---- users
 
   String newUid() {
@@ -492,6 +537,7 @@
   }
 
   void poll(String uid) {
+    checker.asked(uid);
     int to = anyNode();
     boolean[] over = {false};
     toNode(
