--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -47,6 +47,7 @@
   private static final int MAX_RENTALS_PER_SCAN = 4;
 
   private static final double QUIET_IDLE_S = 8;
+  private static final long RETIRING_IDLE_MS = 2_000;
 
   /** For how many leases, in milliseconds of lease seconds, a machine may be deaf. */
   private static final double DEAF_LEASES = 3_000;
@@ -65,6 +66,9 @@
     /** True when the idle machine is not needed as room for the next pressing job. */
     boolean spare(Machine m);
 
+    /** True when work waits that could be put on the machine. */
+    boolean needed(Machine m);
+
     /** Tasks that went with a machine. */
     void lost(List<Placement> placements);
 
@@ -485,12 +489,15 @@
   }
 
   private boolean idle(Machine m, long now) {
+    if (!m.up() || !m.empty() || m.releasing()) {
+      return false;
+    }
+    if (m.retiring()) {
+      return now - m.emptySinceMs() >= RETIRING_IDLE_MS;
+    }
     double waitS = host.quiet() ? Math.min(policy.idleS(), QUIET_IDLE_S) : policy.idleS();
-    return m.up()
-        && m.empty()
-        && now - m.emptySinceMs() >= waitS * 1000
-        && !m.releasing()
-        && host.spare(m);
+    // Work may wait for a machine that has only just come up, or whose jobs are put off.
+    return now - m.emptySinceMs() >= waitS * 1000 && !host.needed(m) && host.spare(m);
   }
 
   /** Machines that are of no use any more, whatever the bounds say. */
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,5 +1,7 @@
 package org.ploverspindle.leadership;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.CloudApi;
+import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.cloud.Rentals;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobTable;
@@ -612,8 +615,9 @@
       long now = with.scheduler().nowMs();
       long wall = with.scheduler().wallMs();
       List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
-      return new Demand(with.catalogue(), teams, estimates, with.policy().drainS())
-          .plan(
+      Demand demand = new Demand(with.catalogue(), teams, estimates, with.policy().drainS());
+      List<Demand.Wanted> wanted =
+          demand.plan(
               placer.waitingJobs(now, wall),
               jobs.all(),
               usable,
@@ -622,6 +626,37 @@
               expected(),
               now,
               wall);
+      retire(usable, demand.dearSurplus());
+      return wanted;
+    }
+
+    /**
+     * Dear machines that nothing needs any more take no new work that could wait, so that they
+     * empty and go back: a busy machine would otherwise stay for as long as any work waits.
+     */
+    private void retire(List<Machine> usable, double surplus) {
+      double left = surplus;
+      List<Machine> dear = new ArrayList<>();
+      for (Machine m : usable) {
+        m.retiring(false);
+        MachineType type = with.catalogue().type(m.type());
+        if (!m.spot() && type.price(false) > type.price(true) * Demand.DEAR) {
+          dear.add(m);
+        }
+      }
+      dear.sort(Comparator.comparingLong(m -> -m.free().cores()));
+      for (Machine m : dear) {
+        left -= m.size().cores();
+        if (left < 0) {
+          return;
+        }
+        m.retiring(true);
+      }
+    }
+
+    @Override
+    public boolean needed(Machine m) {
+      return placer.wanted(m, with.scheduler().nowMs());
     }
 
     @Override
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -61,6 +61,13 @@
   private final List<Virtual> coming = new ArrayList<>();
   private final List<OpenOffer> offers = new ArrayList<>();
   private double coresAllowed;
+  private double dearCoresAllowed;
+
+  /** A machine whose core costs this much more than the cheapest that there is counts as dear. */
+  public static final double DEAR = 1.5;
+
+  /** Part of the time that is left in which dear machines are to finish the work. */
+  private static final double DEAR_WINDOW = 0.85;
 
   public Demand(Catalogue catalogue, TeamUsage teams, Estimates estimates, double drainS) {
     this.catalogue = catalogue;
@@ -94,7 +101,8 @@
     for (Virtual v : coming) {
       have += v.free.cores();
     }
-    coresAllowed = coresNeeded(all, nowMs, wallMs) - have;
+    coresAllowed = coresNeeded(all, nowMs, wallMs, false) - have;
+    dearCoresAllowed = coresNeeded(all, nowMs, wallMs, true) - have;
     for (Job job : waiting) {
       serve(job, machines, Placer.starves(job, wallMs));
     }
@@ -108,8 +116,17 @@
     return wanted;
   }
 
-  /** Cores that finish each job's work within its window, in thousandths. */
-  private double coresNeeded(Collection<Job> all, long nowMs, long wallMs) {
+  /** Cores beyond what would be needed even at a high price, as of the last plan; thousandths. */
+  public double dearSurplus() {
+    return -dearCoresAllowed;
+  }
+
+  /**
+   * Cores that finish each job's work within its window, in thousandths.
+   *
+   * @param dear what is needed even at a price several times as high
+   */
+  private double coresNeeded(Collection<Job> all, long nowMs, long wallMs, boolean dear) {
     double needed = 0;
     Set<Job> guaranteed = guaranteed(all);
     for (Job job : all) {
@@ -128,7 +145,7 @@
         double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
         leftS += Math.max(runS * 0.1, runS - ranS);
       }
-      double horizon = Math.max(runS, horizonS(job, guaranteed.contains(job), wallMs));
+      double horizon = Math.max(runS, horizonS(job, guaranteed.contains(job), wallMs, dear));
       needed += each * Math.min(open + job.live().size(), leftS / horizon);
     }
     return needed;
@@ -137,14 +154,15 @@
   /**
    * In how many seconds a job's work should be through. What its team's guarantee covers, and what
    * has no due time, is served as fast as can be; other work may take half of the time it has left,
-   * and the other half is for estimates that are wrong.
+   * and the other half is for estimates that are wrong. Dear machines are rented for what would
+   * come too late without them: work that can wait waits for cheap ones.
    */
-  private double horizonS(Job job, boolean guaranteed, long wallMs) {
+  private double horizonS(Job job, boolean guaranteed, long wallMs, boolean dear) {
     if (guaranteed || job.spec().dueS().isEmpty()) {
       return drainS;
     }
     double leftS = job.spec().dueS().getAsDouble() - (wallMs - job.acceptedWallMs()) / 1000.0;
-    return leftS < drainS ? leftS : Math.max(drainS, leftS / 2);
+    return leftS < drainS ? leftS : Math.max(drainS, leftS * (dear ? DEAR_WINDOW : 0.5));
   }
 
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
@@ -169,7 +187,8 @@
 
   /**
    * @param starves the cores that there are do not help this job, or it would have begun: what it
-   *     may run on is taken by others for long. It gets a machine whatever the sum says.
+   *     may run on is taken by others for long. It gets a machine whatever the sum says, if not a
+   *     dear one.
    */
   private void serve(Job job, List<Machine> machines, boolean starves) {
     int need = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
@@ -185,16 +204,21 @@
         machines.stream().anyMatch(m -> Placer.allows(job, m))
             || coming.stream()
                 .anyMatch(v -> allowed(job, v.what.type(), v.what.zone(), v.what.spot()));
-    anywhere &= !starves;
-    while (need > 0 && (coresAllowed > 0 || !anywhere)) {
+    int atAnyRate = starves && need > 0 ? 1 : 0;
+    while (need > 0 && (coresAllowed > 0 || !anywhere || atAnyRate > 0)) {
       Optional<OpenOffer> offer = cheapest(job, need);
       if (offer.isEmpty()) {
         return;
       }
       OpenOffer o = offer.get();
+      if (anywhere && dearCoresAllowed <= 0 && isDear(job, o.offer)) {
+        return;
+      }
       o.taken++;
+      atAnyRate--;
       Resources size = catalogue.type(o.offer.type()).size();
       coresAllowed -= size.cores();
+      dearCoresAllowed -= size.cores();
       Virtual fresh = new Virtual(new Coming(o.offer.type(), o.offer.zone(), o.offer.spot()), size);
       coming.add(fresh);
       need -= fill(fresh, job, need);
@@ -202,6 +226,22 @@
     }
   }
 
+  /** Does a core of it cost far more than of the cheapest kind that the job may use? */
+  private boolean isDear(Job job, Offer offer) {
+    double least = Double.MAX_VALUE;
+    for (int t = 0; t < catalogue.types().size(); t++) {
+      if (job.types().get(t)) {
+        least = Math.min(least, pricePerTask(job, t, job.spec().spot()));
+      }
+    }
+    return pricePerTask(job, offer.type(), offer.spot()) > least * DEAR;
+  }
+
+  private double pricePerTask(Job job, int type, boolean spot) {
+    int slots = Math.max(1, catalogue.type(type).size().times(job.perTask()));
+    return catalogue.type(type).price(spot) / slots;
+  }
+
   /** A pressing job can't wait for a machine to boot: it needs room that is there when it comes. */
   private void keepRoom(Job job, List<Machine> machines) {
     int need = job.spec().tasks();
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -10,6 +10,7 @@
 import org.ploverspindle.jobs.JobTable;
 import org.ploverspindle.jobs.Shape;
 import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
 import org.ploverspindle.workers.Placement;
@@ -39,6 +40,9 @@
 
   private static final double PATIENCE_SHARE = 0.2;
 
+  /** With this much time left a job does not need a dear machine that is to go back. */
+  private static final double MAY_WAIT_S = 45;
+
   /** One part of so many of its tasks goes first when nothing of a job has begun. */
   private static final int BEGIN_PART = 8;
 
@@ -132,9 +136,33 @@
     }
     List<Job> waiting = waitingJobs(nowMs, wallMs);
     servePatient(waiting, withRoom, nowMs, wallMs);
+    List<Machine> lasting = withRoom.stream().filter(m -> !m.retiring()).toList();
     for (Job job : waiting) {
-      place(job, withRoom, nowMs, Integer.MAX_VALUE);
+      place(job, mayWait(job, wallMs) ? lasting : withRoom, nowMs, Integer.MAX_VALUE);
+    }
+  }
+
+  /** There is time until it must start, and nobody expects it to start at once. */
+  private boolean mayWait(Job job, long wallMs) {
+    return job.spec().urgency().compareTo(Urgency.HIGH) > 0
+        && !aims.prompt(job)
+        && job.spec().dueS().isPresent()
+        && slackS(job, wallMs) > MAY_WAIT_S;
+  }
+
+  /** Could a task that waits be put on the machine, were it usable by now? */
+  public boolean wanted(Machine m, long nowMs) {
+    for (Job job : jobs.all()) {
+      if (!job.over()
+          && !job.blocked()
+          && !job.waiting().isEmpty()
+          && !job.held(nowMs)
+          && teams.room(job.team(), job.perTask()) > 0
+          && takes(job, m)) {
+        return true;
+      }
     }
+    return false;
   }
 
   /**
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -36,6 +36,7 @@
   private double recallS;
   private boolean draining;
   private boolean releasing;
+  private boolean retiring;
   private int failuresInRow;
   private long lastFailureMs;
   private long shunnedUntilMs = Long.MIN_VALUE / 2;
@@ -161,6 +162,10 @@
   }
 
   void heard(Report report, long nowMs, boolean underOurToken) {
+    if (lastReportMs < 0) {
+      // It has just come up: it was not idle while it booted.
+      emptySinceMs = nowMs;
+    }
     tenure = report.tenure();
     tally = report.tally();
     lastReportMs = nowMs;
@@ -261,6 +266,15 @@
     draining = true;
   }
 
+  /** It is dear and not needed: only what is pressed for time is put there. */
+  public boolean retiring() {
+    return retiring;
+  }
+
+  public void retiring(boolean now) {
+    retiring = now;
+  }
+
   public boolean releasing() {
     return releasing;
   }
