--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -221,7 +221,7 @@
 
   /** Makes room for pressing jobs that found none; says how many tasks are stopped for them. */
   public int preempt(long nowMs, long wallMs) {
-    return new Preemption(fleet, teams, estimates, silenceMs)
+    return new Preemption(fleet, teams, estimates, aims, silenceMs)
         .run(waitingJobs(nowMs, wallMs), nowMs);
   }
 
--- a/src/main/java/org/ploverspindle/placement/Preemption.java
+++ b/src/main/java/org/ploverspindle/placement/Preemption.java
@@ -27,12 +27,14 @@
   private final Fleet fleet;
   private final TeamUsage teams;
   private final Estimates estimates;
+  private final Aims aims;
   private final long silenceMs;
 
-  Preemption(Fleet fleet, TeamUsage teams, Estimates estimates, long silenceMs) {
+  Preemption(Fleet fleet, TeamUsage teams, Estimates estimates, Aims aims, long silenceMs) {
     this.fleet = fleet;
     this.teams = teams;
     this.estimates = estimates;
+    this.aims = aims;
     this.silenceMs = silenceMs;
   }
 
@@ -137,12 +139,22 @@
         within
             && other.team() != job.team()
             && !teams.withinGuarantee(other.team(), Resources.NONE);
-    if (!lower && !borrowed || p.phase() != Placement.Phase.RUNNING) {
+    if (!lower && !borrowed
+        || p.phase() != Placement.Phase.RUNNING && p.phase() != Placement.Phase.FETCHING) {
       return false;
     }
     double ranS = ranS(p, nowMs);
     double expectedS = estimates.runS(other);
-    return ranS > JUST_BEGUN_S && (expectedS <= 0 || expectedS - ranS > SOON_S);
+    boolean fresh = ranS <= JUST_BEGUN_S && startMatters(other);
+    return !fresh && (expectedS <= 0 || expectedS - ranS > SOON_S);
+  }
+
+  /**
+   * A start that is stopped within 30 s does not count. Where nobody waits for the start, what has
+   * just begun is the best to stop, as the least work is lost with it.
+   */
+  private boolean startMatters(Job job) {
+    return aims.prompt(job) || job.spec().urgency().compareTo(Urgency.HIGH) <= 0;
   }
 
   private static double ranS(Placement p, long nowMs) {
