Machines are held for the rate at which work comes, not only for what is there

Ruled out: refused rentals (ten were asked for in all, and given), the changes of leader (each costs its 5 s hold; the first placement follows within 4 s).

Changed: the cores that the last 75 s of arrivals keep busy, and three tenths more, are needed as well; what is missing of that is rented before anything waits. Work with hours of slack is left out.

--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -60,6 +60,8 @@
   /** Hints of new jobs may be lost: a leader looks for them by itself as well. */
   private static final long READ_MS = 200;
 
+  private static final long REMEMBERED_MS = 120_000;
+
   /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
   private static final int MOST_DIRECT = 48;
 
@@ -161,9 +163,8 @@
     long now = with.scheduler().nowMs();
     with.specs().uids().stream()
         .flatMap(uid -> with.specs().get(uid).stream())
-        .mapToLong(spec -> SpecRecord.acceptedWallMs(spec.value()))
-        .sorted()
-        .forEach(arrivals::came);
+        .sorted(Comparator.comparingLong(spec -> SpecRecord.acceptedWallMs(spec.value())))
+        .forEach(this::remember);
     RecordedProgress recorded = new RecordedProgress(with.replica(), writer);
     for (Job job : jobs.loadAll()) {
       rebuild(job, recorded.of(job), now);
@@ -260,8 +261,19 @@
     }
   }
 
+  /** What came under earlier leaders tells how much will come under this one. */
+  private void remember(SpecIndex.Spec spec) {
+    long wallMs = SpecRecord.acceptedWallMs(spec.value());
+    arrivals.came(wallMs);
+    if (with.scheduler().wallMs() - wallMs < REMEMBERED_MS) {
+      SpecRecord.decode(spec.uid(), spec.value())
+          .ifPresent(r -> arrivals.work(r.spec(), r.acceptedWallMs()));
+    }
+  }
+
   private void arrived(Job job) {
     arrivals.came(job.acceptedWallMs());
+    arrivals.work(job.spec(), job.acceptedWallMs());
     Resources whole =
         new Resources(
             job.perTask().cores() * job.spec().tasks(),
@@ -624,6 +636,7 @@
               coming,
               offers,
               expected(),
+              arrivals.coresForRate(estimates, wall),
               now,
               wall);
       retire(usable, demand.dearSurplus());
--- a/src/main/java/org/ploverspindle/placement/Arrivals.java
+++ b/src/main/java/org/ploverspindle/placement/Arrivals.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
 
 /**
  * What has come lately: how often jobs come, and how large the pressing ones are. Times are the
@@ -21,6 +23,15 @@
 
   private static final long LEAST_QUIET_MS = 12_000;
 
+  /** Over this long the rate is taken at which work comes: about as long as a machine takes. */
+  private static final long RATE_WINDOW_MS = 75_000;
+
+  /** Work that is due later than this after it came need not find its machines running. */
+  static final double SHORT_WINDOW_S = 240;
+
+  private record Came(long wallMs, String jobClass, double coreSeconds) {}
+
+  private final Deque<Came> recent = new ArrayDeque<>();
   private final Deque<Long> times = new ArrayDeque<>();
   private final Deque<Job> pressing = new ArrayDeque<>();
 
@@ -31,6 +42,27 @@
     }
   }
 
+  /** What came, for the rate of work; only what is due soon counts. */
+  public void work(JobSpec spec, long acceptedWallMs) {
+    if (spec.shape() == Shape.BATCH && spec.dueS().orElse(Double.MAX_VALUE) <= SHORT_WINDOW_S) {
+      double coreSeconds = spec.tasks() * spec.perTask().cores() * spec.expectedS();
+      recent.addLast(new Came(acceptedWallMs, spec.jobClass(), coreSeconds));
+    }
+  }
+
+  /**
+   * Cores, in thousandths, that would be busy for good if work went on to come as it has. Who has
+   * less falls behind: a machine that is rented when work waits comes when it is too late for it.
+   */
+  public double coresForRate(Estimates estimates, long wallMs) {
+    recent.removeIf(c -> wallMs - c.wallMs() > RATE_WINDOW_MS);
+    double sum = 0;
+    for (Came c : recent) {
+      sum += c.coreSeconds() * estimates.ratio(c.jobClass());
+    }
+    return sum / (RATE_WINDOW_MS / 1000.0);
+  }
+
   /** A job that should start at once: of high urgency, or covered by a guarantee. */
   public void pressing(Job job) {
     pressing.addLast(job);
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -60,12 +60,19 @@
   private final double drainS;
   private final List<Virtual> coming = new ArrayList<>();
   private final List<OpenOffer> offers = new ArrayList<>();
+  private double have;
+  private double rentedCores;
   private double coresAllowed;
   private double dearCoresAllowed;
 
   /** A machine whose core costs this much more than the cheapest that there is counts as dear. */
   public static final double DEAR = 1.5;
 
+  /** Work comes in lumps: for what keeps so many cores busy on average, this much more is held. */
+  private static final double RATE_ROOM = 1.3;
+
+  private static final double RATE_ROOM_DEAR = 1.15;
+
   /** Part of the time that is left in which dear machines are to finish the work. */
   private static final double DEAR_WINDOW = 0.85;
 
@@ -80,6 +87,7 @@
    * @param waiting jobs with waiting tasks, the most pressing first
    * @param machines machines that are up and take tasks
    * @param expected a job like the next pressing one, which room is kept for
+   * @param coresForRate what work that goes on to come as it does keeps busy, in thousandths
    */
   public List<Wanted> plan(
       List<Job> waiting,
@@ -88,24 +96,27 @@
       List<Coming> comingNow,
       List<Offer> offersNow,
       Optional<Job> expected,
+      double coresForRate,
       long nowMs,
       long wallMs) {
     for (Coming c : comingNow) {
       coming.add(new Virtual(c, catalogue.type(c.type()).size()));
     }
     offersNow.forEach(o -> offers.add(new OpenOffer(o)));
-    double have = 0;
     for (Machine m : machines) {
       have += m.size().cores();
     }
     for (Virtual v : coming) {
       have += v.free.cores();
     }
-    coresAllowed = coresNeeded(all, nowMs, wallMs, false) - have;
-    dearCoresAllowed = coresNeeded(all, nowMs, wallMs, true) - have;
+    coresAllowed =
+        Math.max(coresNeeded(all, nowMs, wallMs, false), coresForRate * RATE_ROOM) - have;
+    dearCoresAllowed =
+        Math.max(coresNeeded(all, nowMs, wallMs, true), coresForRate * RATE_ROOM_DEAR) - have;
     for (Job job : waiting) {
       serve(job, machines, Placer.starves(job, wallMs));
     }
+    keepRate(all, coresForRate * RATE_ROOM_DEAR - haveNow());
     expected.ifPresent(job -> keepRoom(job, machines));
     List<Wanted> wanted = new ArrayList<>();
     for (OpenOffer o : offers) {
@@ -217,6 +228,7 @@
       o.taken++;
       atAnyRate--;
       Resources size = catalogue.type(o.offer.type()).size();
+      rentedCores += size.cores();
       coresAllowed -= size.cores();
       dearCoresAllowed -= size.cores();
       Virtual fresh = new Virtual(new Coming(o.offer.type(), o.offer.zone(), o.offer.spot()), size);
@@ -226,6 +238,33 @@
     }
   }
 
+  private double haveNow() {
+    return have + rentedCores;
+  }
+
+  /**
+   * Machines were lost, or work comes faster: what is missing is rented before the work that will
+   * miss it waits. Shaped after the youngest job whose work counts for the rate.
+   */
+  private void keepRate(Collection<Job> all, double missing) {
+    Optional<Job> like =
+        all.stream()
+            .filter(j -> !j.over() && j.spec().shape() == Shape.BATCH)
+            .filter(j -> j.spec().dueS().orElse(Double.MAX_VALUE) <= Arrivals.SHORT_WINDOW_S)
+            .max(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid));
+    double left = missing;
+    while (like.isPresent() && left > 0) {
+      Optional<OpenOffer> offer = cheapest(like.get(), Integer.MAX_VALUE);
+      if (offer.isEmpty()) {
+        return;
+      }
+      double each = catalogue.type(offer.get().offer.type()).size().cores();
+      offer.get().taken++;
+      left -= each;
+      rentedCores += each;
+    }
+  }
+
   /** Does a core of it cost far more than of the cheapest kind that the job may use? */
   private boolean isDear(Job job, Offer offer) {
     double least = Double.MAX_VALUE;
--- a/src/main/java/org/ploverspindle/placement/Estimates.java
+++ b/src/main/java/org/ploverspindle/placement/Estimates.java
@@ -22,6 +22,11 @@
 
   /** How long a task of the job runs, in seconds. */
   public double runS(Job job) {
-    return job.spec().expectedS() * ratioByClass.getOrDefault(job.spec().jobClass(), 1.0);
+    return job.spec().expectedS() * ratio(job.spec().jobClass());
+  }
+
+  /** How much longer than estimated the tasks of a class have run. */
+  double ratio(String jobClass) {
+    return ratioByClass.getOrDefault(jobClass, 1.0);
   }
 }
