Who waits long is helped after 90 s; failed try: ending the hold of a leader that seems gone

Tried and taken back: when the leader's connection to a peer ends and another is refused, and it writes nothing for 0.9 s, its hold is ended so that nobody waits 5 s. Silence alone is no sign, so the hold stays the judge.

--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -36,7 +36,7 @@
    * be in time, and under a lasting overload what stepped back for them, the largest above all,
    * would never begin; nor would a lower urgency below one that never ends.
    */
-  static final long PATIENCE_MS = 120_000;
+  static final long PATIENCE_MS = 90_000;
 
   private static final double PATIENCE_SHARE = 0.2;
 
