Limits too small for the deployment are named by check and at the start

A state service that gives fewer requests than the controllers need for renewals and reading, too few changes, values that hold no record for certain, or a grace shorter than a lease: valid, and said with the field and what follows from it.

--- a/src/main/java/org/ploverspindle/cli/CheckCommand.java
+++ b/src/main/java/org/ploverspindle/cli/CheckCommand.java
@@ -10,6 +10,7 @@
 import org.ploverspindle.settings.Problem;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.settings.SettingsFile;
+import org.ploverspindle.settings.Sufficiency;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -35,6 +36,8 @@
     try {
       Settings settings = SettingsFile.load(config);
       Policy checked = Main.policy(policy, settings);
+      Sufficiency.warnings(settings)
+          .forEach(w -> spec.commandLine().getErr().println("warning: " + w));
       spec.commandLine().getOut().println("valid: " + settings.member() + ", " + checked);
       return 0;
     } catch (InvalidSettings e) {
--- a/src/main/java/org/ploverspindle/cli/Main.java
+++ b/src/main/java/org/ploverspindle/cli/Main.java
@@ -12,6 +12,7 @@
 import org.ploverspindle.settings.InvalidSettings;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.settings.SettingsFile;
+import org.ploverspindle.settings.Sufficiency;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -92,6 +93,7 @@
 
   private static void run(Settings settings, Policy policy) throws IOException {
     new Service(settings, policy, new SplittableRandom()).start();
+    Sufficiency.warnings(settings).forEach(w -> LoggerFactory.getLogger(Main.class).warn("{}", w));
     LoggerFactory.getLogger(Main.class).info("{} serves {}", settings.member(), settings.front());
   }
 
--- /dev/null
+++ b/src/main/java/org/ploverspindle/settings/Sufficiency.java
@@ -0,0 +1,77 @@
+package org.ploverspindle.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Limits that are valid and too small for the deployment's size. The service starts with them and
+ * keeps the rules; what its users will see is said beforehand.
+ */
+public final class Sufficiency {
+  /** A leader's renewals, its own looks for news, and as many writes, at the least. */
+  private static final double LEADER_RPS = 8;
+
+  /** A follower looks for news this often when nobody asks it anything. */
+  private static final double FOLLOWER_RPS = 1.5;
+
+  private static final double LEAST_WRITE_RPS = 4;
+  private static final int LEAST_VALUE_BYTES = 1_500;
+
+  private Sufficiency() {}
+
+  /** A field, and what follows from its value. */
+  public record Warning(String field, String consequence) {
+    @Override
+    public String toString() {
+      return field + ": " + consequence;
+    }
+  }
+
+  public static List<Warning> warnings(Settings s) {
+    List<Warning> warnings = new ArrayList<>();
+    Settings.StateLimits state = s.stateLimits();
+    double needed = LEADER_RPS + FOLLOWER_RPS * (s.nodes() - 1);
+    if (state.rps() < needed) {
+      warnings.add(
+          new Warning(
+              "params.state.rps",
+              text(
+                  "%.1f requests a second are fewer than the %.1f that %d controllers need with"
+                      + " nothing to do: answers will be late and the lead may change hands",
+                  state.rps(), needed, s.nodes())));
+    }
+    if (state.writeRps() < LEAST_WRITE_RPS) {
+      warnings.add(
+          new Warning(
+              "params.state.write_rps",
+              text(
+                  "%.1f changes a second: each start waits for its record for up to %.1f s",
+                  state.writeRps(), 2 / Math.max(0.01, state.writeRps()))));
+    }
+    if (state.valueBytes() < LEAST_VALUE_BYTES) {
+      warnings.add(
+          new Warning(
+              "params.state.value_kb",
+              text(
+                  "%d bytes hold no record for certain: jobs with longer descriptions are refused"
+                      + " with 422, and tasks may not start",
+                  state.valueBytes())));
+    }
+    double answerS = s.workers().cancelS() - 2.5 - s.workers().leaseS();
+    if (answerS < s.workers().leaseS()) {
+      warnings.add(
+          new Warning(
+              "params.workers.cancel_s",
+              text(
+                  "only %.1f s above the lease: a state service that is away for longer costs the"
+                      + " running tasks",
+                  Math.max(0, answerS))));
+    }
+    return warnings;
+  }
+
+  private static String text(String format, Object... values) {
+    return String.format(Locale.ROOT, format, values);
+  }
+}
--- a/src/test/java/org/ploverspindle/settings/SettingsFileTest.java
+++ b/src/test/java/org/ploverspindle/settings/SettingsFileTest.java
@@ -61,4 +61,16 @@
     List<String> problems = problems(sample().replace("cancel_s = 40.0", "cancel_s = 9.0"));
     assertTrue(problems.get(0).contains("params.workers.cancel_s"), problems.toString());
   }
+
+  @Test
+  void limitsThatAreTooSmallAreNamedAndTaken() throws Exception {
+    assertEquals(List.of(), Sufficiency.warnings(SettingsFile.parse("s.toml", sample())));
+    for (String[] small :
+        new String[][] {{"rps", "3.0"}, {"write_rps", "1.0"}, {"value_kb", "1.0"}}) {
+      String text = sample().replaceAll("(?m)^" + small[0] + " = .*$", small[0] + " = " + small[1]);
+      List<Sufficiency.Warning> warnings = Sufficiency.warnings(SettingsFile.parse("s.toml", text));
+      assertEquals(1, warnings.size(), small[0] + ": " + warnings);
+      assertEquals("params.state." + small[0], warnings.get(0).field());
+    }
+  }
 }
