--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -38,6 +38,9 @@
    */
   static final long PATIENCE_MS = 90_000;
 
+  /** From this age on also those go on by that share of which something has begun. */
+  private static final long AGED_MS = 180_000;
+
   private static final double PATIENCE_SHARE = 0.2;
 
   /** With this much time left a job does not need a dear machine that is to go back. */
@@ -172,7 +175,7 @@
   private void servePatient(List<Job> waiting, List<Machine> withRoom, long nowMs, long wallMs) {
     List<Job> patient = new ArrayList<>();
     for (Job job : waiting) {
-      if (wallMs - job.acceptedWallMs() > PATIENCE_MS) {
+      if (starves(job, wallMs) || wallMs - job.acceptedWallMs() > AGED_MS) {
         patient.add(job);
       }
     }
--- a/src/test/java/org/ploverspindle/placement/TriageTest.java
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -59,6 +59,21 @@
   private static final TeamUsage TEAMS =
       new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
 
+  static final ReportDesk.Listener NOTHING =
+      new ReportDesk.Listener() {
+        @Override
+        public void completed(Placement p, long nowMs) {}
+
+        @Override
+        public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
+
+        @Override
+        public void completedUnplaced(Job job, int task) {}
+
+        @Override
+        public void moved(Placement p) {}
+      };
+
   /** One machine of 16 cores, empty and under our token. */
   private static Fleet fleet() {
     Catalogue catalogue = new Catalogue(List.of("a"));
@@ -81,19 +96,7 @@
         u -> Optional.empty(),
         u -> Optional.empty(),
         (j, t) -> false,
-        new ReportDesk.Listener() {
-          @Override
-          public void completed(Placement p, long nowMs) {}
-
-          @Override
-          public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
-
-          @Override
-          public void completedUnplaced(Job job, int task) {}
-
-          @Override
-          public void moved(Placement p) {}
-        });
+        NOTHING);
   }
 
   /** Fills the machine with four running tasks of the urgency and asks for room for a HIGH job. */
