Leaders that no machine reaches stand back; placing and preemption cost less

Ruled out: changes refused by the state service (none), memory (82 of 414 MB), sockets (1,561 of 2,030).

Tests: FleetSizeTest, LargeFleetTest.

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.ploverspindle.leadership.Term;
 import org.ploverspindle.loop.Cancellable;
@@ -63,11 +64,14 @@
     /** True when jobs have stopped coming: idle machines wait for nobody. */
     boolean quiet();
 
-    /** True when the idle machine is not needed as room for the next pressing job. */
-    boolean spare(Machine m);
+    /**
+     * For idle machines, one after the other: true when it is not needed as room for the next
+     * pressing job, given those that were said to be spare before.
+     */
+    Predicate<Machine> spare();
 
-    /** True when work waits that could be put on the machine. */
-    boolean needed(Machine m);
+    /** For one machine after the other: true when work waits that could be put on it. */
+    Predicate<Machine> needed();
 
     /** Tasks that went with a machine. */
     void lost(List<Placement> placements);
@@ -468,13 +472,16 @@
     List<Machine> back = new ArrayList<>();
     Map<Integer, List<AdaptiveSizing.Group>> groups = new HashMap<>();
     int[][] idleReturned = new int[catalogue.types().size()][catalogue.zoneCount()];
+    // Made once for all machines: each looks at all jobs or all machines.
+    Predicate<Machine> needed = host.needed();
+    Predicate<Machine> spare = host.spare();
     for (Machine m : fleet.all()) {
       if (back.size() >= MAX_PER_RELEASE) {
         break;
       }
       if (mustGo(m, now)) {
         back.add(m);
-      } else if (idle(m, now)) {
+      } else if (idle(m, now, needed, spare)) {
         List<AdaptiveSizing.Group> all = groups.computeIfAbsent(m.type(), this::groups);
         int held = all.get(m.zone()).held() - idleReturned[m.type()][m.zone()];
         if (held - 1 >= bounds(m.type(), all).get(m.zone()).min()) {
@@ -488,7 +495,7 @@
     }
   }
 
-  private boolean idle(Machine m, long now) {
+  private boolean idle(Machine m, long now, Predicate<Machine> needed, Predicate<Machine> spare) {
     if (!m.up() || !m.empty() || m.releasing()) {
       return false;
     }
@@ -497,7 +504,7 @@
     }
     double waitS = host.quiet() ? Math.min(policy.idleS(), QUIET_IDLE_S) : policy.idleS();
     // Work may wait for a machine that has only just come up, or whose jobs are put off.
-    return now - m.emptySinceMs() >= waitS * 1000 && !host.needed(m) && host.spare(m);
+    return now - m.emptySinceMs() >= waitS * 1000 && !needed.test(m) && spare.test(m);
   }
 
   /** Machines that are of no use any more, whatever the bounds say. */
@@ -612,6 +619,7 @@
     m.ifPresent(
         machine -> {
           machine.listed(true);
+          machine.listedAt(h.address());
           if (h.status() == CloudApi.HostStatus.FAILED && !machine.releasing()) {
             // It has stopped by itself; the answer to its release proves that all on it is gone.
             machine.releasing(true);
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -25,6 +25,9 @@
 public final class Election {
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
 
+  private static final long STAND_BACK_MS = 12_000;
+  private static final long STAND_BACK_FORGOTTEN_MS = 120_000;
+
   /** What the rest of the process is told; always on the loop. */
   public interface Listener {
     /** The term began; the copy holds all that earlier leaders wrote. */
@@ -48,6 +51,9 @@
   private boolean holdBusy;
   private boolean acquiring;
   private long earliestTryMs;
+  private long standBackUntilMs = Long.MIN_VALUE / 2;
+  private long lastStandBackMs = Long.MIN_VALUE / 2;
+  private int standBacks;
   private Optional<Term> term = Optional.empty();
 
   public Election(
@@ -144,7 +150,7 @@
   }
 
   private void tryToLead() {
-    if (acquiring || scheduler.nowMs() < earliestTryMs) {
+    if (acquiring || scheduler.nowMs() < Math.max(earliestTryMs, standBackUntilMs)) {
       return;
     }
     // Only who tries to lead needs a hold: renewals of all others would use up shared requests.
@@ -254,6 +260,20 @@
     }
   }
 
+  /**
+   * Gives the lead up to whoever can do more with it, and does not try again for a while, longer
+   * each time: a leader that no machine reaches keeps its key alive as well as any, and every lease
+   * would end meanwhile.
+   */
+  public void standBack(String cause) {
+    long now = scheduler.nowMs();
+    standBacks = now - lastStandBackMs > STAND_BACK_FORGOTTEN_MS ? 0 : standBacks + 1;
+    lastStandBackMs = now;
+    standBackUntilMs = now + (STAND_BACK_MS << Math.min(2, standBacks));
+    LOG.info("standing back from the lead: {}", cause);
+    resign();
+  }
+
   /** Gives the lead up at once, so that others need not wait for the hold to end. */
   public void resign() {
     hold.ifPresent(store::closeHold);
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.CloudApi;
@@ -63,6 +65,17 @@
 
   private static final long REMEMBERED_MS = 120_000;
 
+  /** So many machines do not all fall silent at once by chance; fewer are given more time. */
+  private static final int MANY_MACHINES = 20;
+
+  private static final int SOME_MACHINES = 4;
+  private static final long SILENCE_MARGIN_MS = 2_000;
+
+  private static final long ANNOUNCE_MS = 600;
+  private static final long ANNOUNCE_FROM_MS = 2_400;
+  private static final long ANNOUNCED_AGAIN_MS = 6_000;
+  private static final int ANNOUNCED_AT_ONCE = 8;
+
   /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
   private static final int MOST_DIRECT = 48;
 
@@ -101,6 +114,10 @@
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final long holdMs;
   private long attemptCounter;
+  private final Map<String, Long> announcedMs = new HashMap<>();
+  private long lastHeardMs;
+  private int mostHeard;
+  private long placingTookMs;
   private long placingFromMs = Long.MIN_VALUE;
   private boolean placingPlanned;
   private int directs;
@@ -162,6 +179,7 @@
 
   public void start() {
     long now = with.scheduler().nowMs();
+    lastHeardMs = now;
     with.specs().uids().stream()
         .flatMap(uid -> with.specs().get(uid).stream())
         .sorted(Comparator.comparingLong(spec -> SpecRecord.acceptedWallMs(spec.value())))
@@ -183,6 +201,7 @@
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
+    duties.add(with.scheduler().every(ANNOUNCE_MS, this::announce));
     duties.add(with.scheduler().every(READ_MS, () -> with.replica().readIfOlderThan(READ_MS)));
     duties.add(with.scheduler().every(1_000, () -> times.run("preemption", this::preempt)));
     duties.add(with.scheduler().every(10_000, () -> LOG.debug("busy with {}", times.take())));
@@ -330,6 +349,7 @@
   public void report(Report report, Consumer<ReportDesk.Reply> then) {
     release(report.host());
     long now = with.scheduler().nowMs();
+    lastHeardMs = now;
     ReportDesk.Reply[] taken = new ReportDesk.Reply[1];
     times.run("reports", () -> taken[0] = desk.take(report, now));
     ReportDesk.Reply reply = taken[0];
@@ -473,6 +493,66 @@
     if (mayDecide()) {
       lost(fleet.expire(now));
       planPlacing();
+      if (isUnheard(now)) {
+        election.standBack(
+            "hardly any machine is heard, the last " + (now - lastHeardMs) + " ms ago");
+      }
+    }
+  }
+
+  /**
+   * Nearly all machines are silent at once: it is this controller that they do not reach, and
+   * another one may be reached by them. A lead that is kept by its hold alone would cost every
+   * lease. Nothing is concluded about any machine. Where most were silent from the start, another
+   * leader would hear no more.
+   */
+  private boolean isUnheard(long now) {
+    if (with.settings().nodes() < 2) {
+      return false;
+    }
+    long withinMs = Math.round(with.settings().workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
+    int expected = 0;
+    int heard = 0;
+    for (Machine m : fleet.all()) {
+      boolean reports = m.up() && now - m.lastReportMs() < withinMs;
+      heard += reports ? 1 : 0;
+      expected += m.up() || !m.placements().isEmpty() ? 1 : 0;
+    }
+    mostHeard = Math.max(mostHeard, heard);
+    if (expected < MANY_MACHINES) {
+      return expected >= SOME_MACHINES && now - lastHeardMs >= 2 * withinMs;
+    }
+    boolean fewerThanBefore = mostHeard * 2 > expected || now - lastHeardMs >= withinMs;
+    return now - term.startMs() >= withinMs && heard * 5 < expected && fewerThanBefore;
+  }
+
+  /**
+   * Tells a few of the machines that have not come to us that there is a new token. A leader that
+   * has lost the state service and us, but not its workers, goes on answering them; the first
+   * report that shows it the higher token ends that, where it would keep the fleet for its whole
+   * grace.
+   */
+  private void announce() {
+    long now = with.scheduler().nowMs();
+    long ageMs = now - term.startMs();
+    if (!mayDecide() || ageMs < ANNOUNCE_FROM_MS || ageMs > with.timing().answerMs()) {
+      return;
+    }
+    int most = ANNOUNCED_AT_ONCE;
+    for (Machine m : fleet.all()) {
+      if (most == 0 || directs >= MOST_DIRECT) {
+        return;
+      }
+      long tenure = m.lastKnownTenure();
+      if (!m.up()
+          && !m.releasing()
+          && tenure > 0
+          && !m.address().isEmpty()
+          && now - announcedMs.getOrDefault(m.host(), Long.MIN_VALUE / 2) > ANNOUNCED_AGAIN_MS) {
+        announcedMs.put(m.host(), now);
+        send(m, new ReportDesk.Direct(m.address(), m.fence(), tenure, List.of()));
+        most--;
+      }
     }
   }
 
@@ -505,13 +585,15 @@
       placingPlanned = true;
       with.scheduler()
           .schedule(
-              PLACING_PAUSE_MS,
+              // A quarter of the time at most: what places a large backlog must leave room for the
+              // reports that end it.
+              Math.max(PLACING_PAUSE_MS, 3 * placingTookMs),
               () -> {
                 placingPlanned = false;
-                if (mayDecide() && with.scheduler().nowMs() >= placingFromMs) {
-                  times.run(
-                      "placing",
-                      () -> placer.run(with.scheduler().nowMs(), with.scheduler().wallMs()));
+                long now = with.scheduler().nowMs();
+                if (mayDecide() && now >= placingFromMs) {
+                  times.run("placing", () -> placer.run(now, with.scheduler().wallMs()));
+                  placingTookMs = with.scheduler().nowMs() - now;
                 }
               });
     }
@@ -684,8 +766,8 @@
     }
 
     @Override
-    public boolean needed(Machine m) {
-      return placer.wanted(m, with.scheduler().nowMs());
+    public Predicate<Machine> needed() {
+      return placer.wanted(with.scheduler().nowMs());
     }
 
     @Override
@@ -695,20 +777,31 @@
 
     /** Without its room the next pressing job would wait for a machine to boot. */
     @Override
-    public boolean spare(Machine m) {
+    public Predicate<Machine> spare() {
       Optional<Job> next = expected();
-      if (next.isEmpty() || !Placer.allows(next.get(), m)) {
-        return true;
+      if (next.isEmpty()) {
+        return m -> true;
       }
-      int slots = 0;
-      for (Machine other : fleet.all()) {
-        if (other != m
-            && other.usable(with.scheduler().nowMs(), 60_000)
-            && Placer.allows(next.get(), other)) {
-          slots += other.free().times(next.get().perTask());
-        }
+      Job job = next.get();
+      long slots = 0;
+      for (Machine m : fleet.all()) {
+        slots += slots(m, job);
       }
-      return slots >= next.get().spec().tasks();
+      long[] left = {slots - job.spec().tasks()};
+      return m -> {
+        int its = slots(m, job);
+        if (left[0] < its) {
+          return its == 0;
+        }
+        left[0] -= its;
+        return true;
+      };
+    }
+
+    private int slots(Machine m, Job job) {
+      return m.usable(with.scheduler().nowMs(), 60_000) && Placer.allows(job, m)
+          ? m.free().times(job.perTask())
+          : 0;
     }
 
     private Optional<Job> expected() {
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -214,6 +214,7 @@
     replica.spacing(followerSpacingMs());
     steward.ifPresent(Steward::close);
     steward = Optional.empty();
+    peers.tellAll(new PeerRecord.Resigned(settings.member(), term.token()));
   }
 
   // ---- the door's requests
--- a/src/main/java/org/ploverspindle/placement/Estimates.java
+++ b/src/main/java/org/ploverspindle/placement/Estimates.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.ploverspindle.jobs.Job;
+import org.ploverspindle.workers.Placement;
 
 /** Owners' estimates, corrected by class from what finished tasks really took. */
 public final class Estimates {
@@ -25,6 +26,19 @@
     return job.spec().expectedS() * ratio(job.spec().jobClass());
   }
 
+  /**
+   * How long what is placed goes on, in seconds. What has run for longer than its estimate has a
+   * fifth of it left; a replica, which ends when it is cancelled, goes on for ever.
+   */
+  double restS(Placement p, long nowMs) {
+    if (p.job().spec().expectedS() <= 0) {
+      return Double.MAX_VALUE;
+    }
+    double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
+    double runS = runS(p.job());
+    return Math.max(runS * 0.2, runS - ranS);
+  }
+
   /** How much longer than estimated the tasks of a class have run. */
   double ratio(String jobClass) {
     return ratioByClass.getOrDefault(jobClass, 1.0);
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobTable;
@@ -49,6 +51,8 @@
   /** One part of so many of its tasks goes first when nothing of a job has begun. */
   private static final int BEGIN_PART = 8;
 
+  private static final long CAPACITY_KEPT_MS = 300;
+
   /** Part of its estimate by which a task may well be shorter. */
   private static final double DOUBT = 0.4;
 
@@ -62,6 +66,8 @@
   private final long silenceMs;
   private final Listener listener;
   private final List<Placement> servedForPatience = new ArrayList<>();
+  private Optional<Capacity> capacity = Optional.empty();
+  private long capacityMs;
 
   /**
    * @param aims what the operators expect of the classes
@@ -100,7 +106,16 @@
             .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
             .thenComparingDouble(j -> openSlackS(j, wallMs).orElse(Double.MAX_VALUE))
             .thenComparing(Job::uid));
-    return new Triage(j -> openSlackS(j, wallMs), fleet, estimates, nowMs).order(waiting);
+    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates).order(waiting);
+  }
+
+  /** Looks at every placement, and placing runs many times a second: kept for a moment. */
+  private Capacity capacity(long nowMs) {
+    if (capacity.isEmpty() || nowMs - capacityMs > CAPACITY_KEPT_MS) {
+      capacity = Optional.of(new Capacity(fleet, estimates, nowMs, 60_000));
+      capacityMs = nowMs;
+    }
+    return capacity.get();
   }
 
   /** Seconds until the job must run to be done when due; those without a due time come last. */
@@ -153,19 +168,22 @@
         && slackS(job, wallMs) > MAY_WAIT_S;
   }
 
-  /** Could a task that waits be put on the machine, were it usable by now? */
-  public boolean wanted(Machine m, long nowMs) {
+  /**
+   * Could a task that waits be put on the machine, were it usable by now? Asked about one machine
+   * after the other: the jobs are gone through once.
+   */
+  public Predicate<Machine> wanted(long nowMs) {
+    List<Job> open = new ArrayList<>();
     for (Job job : jobs.all()) {
       if (!job.over()
           && !job.blocked()
           && !job.waiting().isEmpty()
           && !job.held(nowMs)
-          && teams.room(job.team(), job.perTask()) > 0
-          && takes(job, m)) {
-        return true;
+          && teams.room(job.team(), job.perTask()) > 0) {
+        open.add(job);
       }
     }
-    return false;
+    return m -> open.stream().anyMatch(job -> takes(job, m));
   }
 
   /**
--- a/src/main/java/org/ploverspindle/placement/Preemption.java
+++ b/src/main/java/org/ploverspindle/placement/Preemption.java
@@ -1,11 +1,15 @@
 package org.ploverspindle.placement;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
@@ -22,7 +26,11 @@
 final class Preemption {
   private static final double SOON_S = 8;
   private static final double JUST_BEGUN_S = 30;
-  private static final int MAX_TASKS = 24;
+
+  /** At most so many tasks are stopped at once, and in a large fleet one for so many machines. */
+  private static final int LEAST_TASKS = 24;
+
+  private static final int MACHINES_A_TASK = 10;
 
   private final Fleet fleet;
   private final TeamUsage teams;
@@ -54,70 +62,121 @@
     }
   }
 
-  private record Plan(Room room, List<Placement> victims, double lost) {}
+  private record Plan(Room room, int order, List<Placement> victims, double lost) {}
+
+  /** All that a plan for a job rests on: where one job found none, a like one finds none. */
+  private record Like(
+      Resources perTask,
+      BitSet types,
+      boolean spot,
+      Urgency urgency,
+      int team,
+      boolean within,
+      Optional<String> bound) {
+    static Like of(Job job, boolean within) {
+      boolean bound = job.zone() >= 0 || job.spec().oneZone() || job.spec().apart();
+      return new Like(
+          job.perTask(),
+          job.types(),
+          job.spec().spot(),
+          job.spec().urgency(),
+          job.team(),
+          within,
+          bound ? Optional.of(job.uid()) : Optional.empty());
+    }
+  }
 
   /** Stops what must give way to the waiting jobs, the most pressing first; says how many tasks. */
   int run(List<Job> waiting, long nowMs) {
+    List<Job> pressing =
+        waiting.stream()
+            .filter(
+                j ->
+                    j.spec().urgency().compareTo(Urgency.HIGH) <= 0
+                        || teams.withinGuarantee(j.team(), j.perTask()))
+            .toList();
+    if (pressing.isEmpty()) {
+      return 0;
+    }
     List<Room> rooms = new ArrayList<>();
     for (Machine m : fleet.all()) {
       if (m.usable(nowMs, silenceMs)) {
         rooms.add(new Room(m));
       }
     }
+    int mostTasks = Math.max(LEAST_TASKS, rooms.size() / MACHINES_A_TASK);
     Map<Integer, Resources> promised = new HashMap<>();
+    Set<Like> hopeless = new HashSet<>();
     int stopped = 0;
-    for (Job job : waiting) {
-      boolean guaranteed = teams.withinGuarantee(job.team(), job.perTask());
-      if (job.spec().urgency().compareTo(Urgency.HIGH) > 0 && !guaranteed) {
+    for (Job job : pressing) {
+      int tasks = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+      if (tasks <= 0 || stopped >= mostTasks) {
         continue;
       }
-      int tasks =
-          Math.min(
-              MAX_TASKS,
-              Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask())));
-      for (int i = 0; i < tasks && stopped < MAX_TASKS; i++) {
-        Resources before = promised.getOrDefault(job.team(), Resources.NONE);
-        boolean within = teams.withinGuarantee(job.team(), before.plus(job.perTask()));
-        Optional<Plan> plan = plan(job, rooms, within, nowMs);
-        if (plan.isEmpty()) {
+      boolean within = withinGuarantee(job, promised);
+      Like like = Like.of(job, within);
+      PriorityQueue<Plan> plans =
+          hopeless.contains(like) ? new PriorityQueue<>() : plans(job, rooms, within, nowMs);
+      for (int i = 0; i < tasks && stopped < mostTasks; i++) {
+        if (withinGuarantee(job, promised) != within) {
+          within = !within;
+          plans = plans(job, rooms, within, nowMs);
+        }
+        Plan plan = plans.poll();
+        if (plan == null) {
+          hopeless.add(Like.of(job, within));
           break;
         }
         promised.merge(job.team(), job.perTask(), Resources::plus);
-        Room room = plan.get().room();
-        for (Placement p : plan.get().victims()) {
+        Room room = plan.room();
+        for (Placement p : plan.victims()) {
           p.stop(p.job().spec().saves() ? p.job().spec().saveCostS() + 1 : 0);
           room.free = room.free.plus(p.job().perTask());
           stopped++;
         }
         room.free = room.free.minus(job.perTask());
+        // Only this machine has changed; the plans for all others still stand.
+        planOn(job, room, plan.order(), within, nowMs).ifPresent(plans::add);
       }
     }
     return stopped;
   }
 
-  private Optional<Plan> plan(Job job, List<Room> rooms, boolean within, long nowMs) {
-    Plan best = null;
-    for (Room room : rooms) {
-      if (!Placer.allows(job, room.machine)) {
-        continue;
-      }
-      Optional<Plan> here = planOn(job, room, within, nowMs);
-      if (here.isPresent() && (best == null || here.get().lost() < best.lost())) {
-        best = here.get();
+  private boolean withinGuarantee(Job job, Map<Integer, Resources> promised) {
+    Resources before = promised.getOrDefault(job.team(), Resources.NONE);
+    return teams.withinGuarantee(job.team(), before.plus(job.perTask()));
+  }
+
+  /** One plan for each machine where one task of the job could get room, the least loss first. */
+  private PriorityQueue<Plan> plans(Job job, List<Room> rooms, boolean within, long nowMs) {
+    PriorityQueue<Plan> plans =
+        new PriorityQueue<>(Comparator.comparingDouble(Plan::lost).thenComparingInt(Plan::order));
+    for (int i = 0; i < rooms.size(); i++) {
+      if (Placer.allows(job, rooms.get(i).machine)) {
+        planOn(job, rooms.get(i), i, within, nowMs).ifPresent(plans::add);
       }
     }
-    return Optional.ofNullable(best);
+    return plans;
   }
 
-  private Optional<Plan> planOn(Job job, Room room, boolean within, long nowMs) {
+  private Optional<Plan> planOn(Job job, Room room, int order, boolean within, long nowMs) {
     if (job.perTask().fitsIn(room.free)) {
-      return Optional.of(new Plan(room, List.of(), 0));
+      return Optional.of(new Plan(room, order, List.of(), 0));
     }
-    List<Placement> candidates =
-        room.machine.placements().stream()
-            .filter(p -> !p.stopping() && mayStop(job, p, within, nowMs))
-            .sorted(Comparator.comparingDouble(p -> lost(p, nowMs)))
-            .toList();
+    List<Placement> candidates = new ArrayList<>();
+    Resources most = room.free;
+    for (Placement p : room.machine.placements()) {
+      if (!p.stopping() && mayStop(job, p, within, nowMs)) {
+        candidates.add(p);
+        most = most.plus(p.job().perTask());
+      }
+    }
+    if (!job.perTask().fitsIn(most)) {
+      return Optional.empty();
+    }
+    candidates.sort(
+        Comparator.comparingDouble((Placement p) -> lost(p, nowMs))
+            .thenComparingLong(Placement::attempt));
     List<Placement> victims = new ArrayList<>();
     Resources free = room.free;
     double lost = 0;
@@ -126,10 +185,10 @@
       free = free.plus(p.job().perTask());
       lost += lost(p, nowMs);
       if (job.perTask().fitsIn(free)) {
-        return Optional.of(new Plan(room, victims, lost));
+        break;
       }
     }
-    return Optional.empty();
+    return Optional.of(new Plan(room, order, victims, lost));
   }
 
   private boolean mayStop(Job job, Placement p, boolean within, long nowMs) {
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -1,15 +1,11 @@
 package org.ploverspindle.placement;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.function.Function;
 import org.ploverspindle.jobs.Job;
-import org.ploverspindle.workers.Fleet;
-import org.ploverspindle.workers.Machine;
-import org.ploverspindle.workers.Placement;
 
 /**
  * Which jobs can still be done when due, if there is more work than room. Serving by latest start
@@ -24,60 +20,14 @@
 
   private static final double SPARE_S = 6;
 
-  /** A replica runs until it is cancelled: its cores come free for nobody. */
-  private static final double FOR_EVER_S = 1e7;
-
   private final Function<Job, OptionalDouble> openSlackS;
   private final Estimates estimates;
-  private final long nowMs;
-
-  /** Cores that come free after so many seconds. */
-  private record Busy(double cores, double forS) {}
-
-  private final double[] freeAtS;
-  private final double[] coresBefore;
-  private final double[] coreSecondsBefore;
+  private final Capacity capacity;
 
-  Triage(Function<Job, OptionalDouble> openSlackS, Fleet fleet, Estimates estimates, long nowMs) {
+  Triage(Function<Job, OptionalDouble> openSlackS, Capacity capacity, Estimates estimates) {
     this.openSlackS = openSlackS;
     this.estimates = estimates;
-    this.nowMs = nowMs;
-    List<Busy> busy = new ArrayList<>();
-    for (Machine m : fleet.all()) {
-      if (m.usable(nowMs, 60_000)) {
-        busy.add(new Busy(m.free().cores(), 0));
-        for (Placement p : m.placements()) {
-          busy.add(new Busy(p.job().perTask().cores(), restS(p)));
-        }
-      }
-    }
-    // Sums by the time at which cores come free: the capacity is asked for once for every job.
-    busy.sort(Comparator.comparingDouble(Busy::forS));
-    freeAtS = new double[busy.size()];
-    coresBefore = new double[busy.size() + 1];
-    coreSecondsBefore = new double[busy.size() + 1];
-    for (int i = 0; i < busy.size(); i++) {
-      Busy b = busy.get(i);
-      freeAtS[i] = b.forS();
-      coresBefore[i + 1] = coresBefore[i] + b.cores();
-      coreSecondsBefore[i + 1] = coreSecondsBefore[i] + b.cores() * b.forS();
-    }
-  }
-
-  private double restS(Placement p) {
-    if (p.job().spec().expectedS() <= 0) {
-      return FOR_EVER_S;
-    }
-    double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
-    double runS = estimates.runS(p.job());
-    return Math.max(runS * 0.2, runS - ranS);
-  }
-
-  /** Work that the machines can take on within the time, beside what they run now. */
-  private double capacity(double withinS) {
-    int at = Arrays.binarySearch(freeAtS, withinS);
-    int n = at < 0 ? -at - 1 : at;
-    return coresBefore[n] * withinS - coreSecondsBefore[n];
+    this.capacity = capacity;
   }
 
   /** Core seconds of the job's waiting tasks. */
@@ -107,7 +57,7 @@
         }
         inTime.add(job);
         sum += work(job);
-        double withinSlack = capacity(Math.max(0, slackS.getAsDouble()) + SPARE_S);
+        double withinSlack = capacity.within(Math.max(0, slackS.getAsDouble()) + SPARE_S);
         // Its last tasks start about when the work before them is through. Doubt is in its favour.
         while (!inTime.isEmpty() && (sum - work(job)) * CERTAINTY > withinSlack) {
           Job back = largest(inTime);
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -135,8 +135,20 @@
     return address;
   }
 
-  void address(String newAddress) {
-    address = newAddress;
+  /** What the list says, for a machine that has not reported in this term. */
+  public void listedAt(String listedAddress) {
+    if (address.isEmpty()) {
+      address = listedAddress;
+    }
+  }
+
+  /** The session that it is known to have been in: its own word, or that of earlier leaders. */
+  public long lastKnownTenure() {
+    long known = tenure;
+    for (Placement p : placements.values()) {
+      known = Math.max(known, p.tenure());
+    }
+    return known;
   }
 
   public long tenure() {
--- /dev/null
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -0,0 +1,264 @@
+package org.ploverspindle.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.leadership.Timing;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+
+/** What is kept between looks or counted in steps, against plain sums over everything. */
+class LargeFleetTest {
+  private static final long NOW = 5_000_000;
+  private static final Term TERM = new Term(7, 1, 0);
+  private static final int RUNNING = 90;
+  private static final List<String> ZONES = List.of("a", "b", "c");
+
+  private final Catalogue catalogue = new Catalogue(ZONES);
+  private final TeamUsage teams =
+      new TeamUsage(
+          List.of(
+              new Settings.Team("red", 900, 0, 0, 0), new Settings.Team("blue", 4_000, 0, 0, 0)));
+  private final Estimates estimates = new Estimates();
+  private final Map<String, Job> jobs = new HashMap<>();
+  private Fleet fleet;
+
+  private Job job(Random r, int i, Urgency urgency, int tasks) {
+    JobSpec spec =
+        new JobSpec(
+            "run-" + i,
+            "class-" + r.nextInt(3),
+            r.nextBoolean() ? "red" : "blue",
+            r.nextInt(12) == 0 ? Shape.SERVICE : Shape.BATCH,
+            urgency,
+            tasks,
+            1 + r.nextInt(4),
+            0,
+            1 + r.nextInt(8),
+            Optional.empty(),
+            r.nextInt(6) == 0 ? Optional.of("b") : Optional.empty(),
+            false,
+            false,
+            r.nextInt(4) > 0,
+            "image",
+            1,
+            r.nextInt(12) == 0 ? 0 : 5 + r.nextInt(200),
+            r.nextBoolean() ? 15 : 0,
+            2,
+            OptionalDouble.of(300));
+    BitSet types = new BitSet();
+    types.set(0, 2);
+    Job job =
+        new Job(
+            spec,
+            NOW - r.nextInt(100_000),
+            80,
+            spec.team().equals("red") ? 0 : 1,
+            types,
+            spec.zone().isPresent() ? 1 : -1,
+            3);
+    jobs.put(job.uid(), job);
+    return job;
+  }
+
+  /** A fleet whose machines run something, seen running at different times before. */
+  private void fill(Random r, int machines) {
+    catalogue.update(
+        List.of(
+            new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, ZONES),
+            new MachineType("large", Resources.offered(16, 0, 64), 40, 1, 1.1, 0.4, 5, ZONES)));
+    fleet = new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(5, 26.5, 51.5)), TERM);
+    ReportDesk desk =
+        new ReportDesk(
+            fleet,
+            TERM,
+            () -> true,
+            u -> Optional.ofNullable(jobs.get(u)),
+            u -> Optional.empty(),
+            (j, t) -> false,
+            TriageTest.NOTHING);
+    List<Job> running = new ArrayList<>();
+    for (int i = 0; i < RUNNING; i++) {
+      running.add(job(r, i, Urgency.values()[r.nextInt(4)], 500));
+    }
+    int[] nextTask = new int[RUNNING];
+    long attempt = 1;
+    for (int i = 0; i < machines; i++) {
+      String host = "i-" + i;
+      String type = r.nextInt(3) == 0 ? "small" : "large";
+      String zone = ZONES.get(r.nextInt(3));
+      long seenMs = NOW - r.nextInt(150_000);
+      Machine m = fleet.adopt(host, type, zone, r.nextBoolean(), seenMs).orElseThrow();
+      List<Report.Item> items = new ArrayList<>();
+      for (int k = 0; k < 30; k++) {
+        Job job = running.get(r.nextInt(RUNNING));
+        int task = nextTask[Integer.parseInt(job.uid().substring(4))];
+        if (task < 500 && job.perTask().fitsIn(m.free()) && Placer.allows(job, m)) {
+          nextTask[Integer.parseInt(job.uid().substring(4))]++;
+          fleet.place(new Placement(job, task, attempt, m, 1, Placement.Phase.RECORDED));
+          items.add(
+              new Report.Item(
+                  job.uid(), task, attempt++, Report.Phase.RUNNING, Report.Cause.NONE, false));
+        }
+      }
+      desk.take(
+          new Report(host, "", type, zone, m.spot(), 1, 1, 7, OptionalDouble.empty(), items),
+          seenMs);
+      desk.take(
+          new Report(host, "", type, zone, m.spot(), 1, 2, 7, OptionalDouble.empty(), items), NOW);
+    }
+  }
+
+  /** Cores that are free within the time, each for what is left of it then. */
+  private double plainCapacity(double withinS) {
+    double sum = 0;
+    for (Machine m : fleet.all()) {
+      sum += m.free().cores() * withinS;
+      for (Placement p : m.placements()) {
+        sum += p.job().perTask().cores() * Math.max(0, withinS - estimates.restS(p, NOW));
+      }
+    }
+    return sum;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void capacityInStepsIsThePlainSum(long seed) {
+    Random r = new Random(seed);
+    fill(r, 1_700);
+    Capacity capacity = new Capacity(fleet, estimates, NOW, 60_000);
+    for (int i = 0; i < 200; i++) {
+      double withinS = r.nextDouble() * 240;
+      double plain = plainCapacity(withinS);
+      assertEquals(plain, capacity.within(withinS), plain * 0.005 + 20_000, "at " + withinS);
+    }
+  }
+
+  /** Task by task, every machine looked at anew for each: what the real one is to choose. */
+  private TreeSet<String> plainVictims(List<Job> waiting, int most) {
+    Map<Machine, Resources> free = new HashMap<>();
+    fleet.all().forEach(m -> free.put(m, m.free()));
+    Map<Integer, Resources> promised = new HashMap<>();
+    TreeSet<String> stopped = new TreeSet<>();
+    for (Job job : waiting) {
+      for (int i = 0; i < job.waiting().cardinality() && stopped.size() < most; i++) {
+        Resources before = promised.getOrDefault(job.team(), Resources.NONE);
+        boolean within = teams.withinGuarantee(job.team(), before.plus(job.perTask()));
+        boolean presses =
+            job.spec().urgency().compareTo(Urgency.HIGH) <= 0
+                || teams.withinGuarantee(job.team(), job.perTask());
+        Machine best = null;
+        List<Placement> bestVictims = List.of();
+        double least = Double.MAX_VALUE;
+        for (Machine m : fleet.all()) {
+          if (!presses || !Placer.allows(job, m)) {
+            continue;
+          }
+          Resources room = free.get(m);
+          double lost = 0;
+          List<Placement> victims = new ArrayList<>();
+          for (Placement p :
+              m.placements().stream()
+                  .filter(p -> !stopped.contains(p.job().uid() + "/" + p.task()))
+                  .filter(p -> mayStop(job, p, within))
+                  .sorted(
+                      Comparator.comparingDouble(LargeFleetTest::lost)
+                          .thenComparingLong(Placement::attempt))
+                  .toList()) {
+            if (job.perTask().fitsIn(room)) {
+              break;
+            }
+            victims.add(p);
+            room = room.plus(p.job().perTask());
+            lost += lost(p);
+          }
+          if (job.perTask().fitsIn(room) && lost < least) {
+            best = m;
+            bestVictims = victims;
+            least = lost;
+          }
+        }
+        if (best == null) {
+          break;
+        }
+        promised.merge(job.team(), job.perTask(), Resources::plus);
+        for (Placement p : bestVictims) {
+          stopped.add(p.job().uid() + "/" + p.task());
+          free.merge(best, p.job().perTask(), Resources::plus);
+        }
+        free.put(best, free.get(best).minus(job.perTask()));
+      }
+    }
+    return stopped;
+  }
+
+  private static double ranS(Placement p) {
+    return (NOW - p.runningSinceMs()) / 1000.0;
+  }
+
+  private static double lost(Placement p) {
+    return (p.job().spec().saves() ? p.job().spec().saveCostS() : ranS(p))
+        * p.job().perTask().cores()
+        / 1000.0;
+  }
+
+  private boolean mayStop(Job job, Placement p, boolean within) {
+    Job other = p.job();
+    boolean lower = other.spec().urgency().compareTo(job.spec().urgency()) > 0;
+    boolean borrowed =
+        within
+            && other.team() != job.team()
+            && !teams.withinGuarantee(other.team(), Resources.NONE);
+    double runS = other.spec().expectedS();
+    boolean fresh = ranS(p) <= 30 && other.spec().urgency().compareTo(Urgency.HIGH) <= 0;
+    return (lower || borrowed) && !fresh && (runS <= 0 || runS - ranS(p) > 8);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1,40", "2,40", "3,300", "4,300", "5,1700"})
+  void stopsWhatThePlainOneWould(long seed, int machines) {
+    Random r = new Random(seed);
+    fill(r, machines);
+    List<Job> waiting = new ArrayList<>();
+    for (int i = 100; i < 112; i++) {
+      waiting.add(job(r, i, Urgency.values()[r.nextInt(4)], 1 + r.nextInt(20)));
+    }
+    int most = Math.max(24, machines / 10);
+    TreeSet<String> plain = plainVictims(waiting, most);
+    new Preemption(fleet, teams, estimates, new Aims(List.of()), 60_000).run(waiting, NOW);
+    TreeSet<String> real = new TreeSet<>();
+    for (Machine m : fleet.all()) {
+      m.placements().stream()
+          .filter(Placement::stopping)
+          .forEach(p -> real.add(p.job().uid() + "/" + p.task()));
+    }
+    assertTrue(plain.size() >= 5, plain.size() + " are stopped");
+    assertEquals(plain, real);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -0,0 +1,150 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+
+/** Long leases and many machines: what a small fleet forgives costs a large one its day. */
+class FleetSizeTest {
+  private static final Settings.WorkerLimits SLOW_REPORTS =
+      new Settings.WorkerLimits(5, 26.5, 51.5);
+
+  private static World.Site site(int nodes, int capacity, List<String> zones) {
+    return new World.Site(
+        nodes,
+        capacity,
+        zones,
+        SLOW_REPORTS,
+        new Settings.StateLimits(120, 35, 8, 12),
+        new Settings.CloudLimits(8, 8),
+        List.of(new Settings.Team("red", 8, 24, 0, 0), new Settings.Team("blue", 8, 0, 0, 0)),
+        new Policy(3, 30, 60, 0, Policy.UNBOUNDED, 30, Map.of()));
+  }
+
+  private static int leaderOf(World w) {
+    assertTrue(w.leader() >= 0, "somebody leads");
+    return w.leader();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aLeaderThatNoMachineReachesIsReplacedBeforeAnyLeaseEnds(long seed) {
+    World w = new World(seed, site(3, 60, List.of("a")));
+    JobSpec[] job = new JobSpec[1];
+    w.clock.at(
+        3_000,
+        () -> {
+          job[0] = EndOfDayTest.job(w, "a", Urgency.NORMAL, 80, 4, 100, 0);
+          w.user(job[0]);
+        });
+    w.clock.at(
+        60_000,
+        () -> {
+          int leader = leaderOf(w);
+          w.cloud.workers().forEach(x -> w.network.cut("n" + leader, x.host(), true));
+          w.clock.at(
+              45_000,
+              () -> w.cloud.workers().forEach(x -> w.network.cut("n" + leader, x.host(), false)));
+        });
+    w.clock.runUntil(400_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(w.checker.isDone(job[0].uid()));
+    assertEquals(80, w.checker.starts(), "each task began once: no lease ended");
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aLeaderThatOnlyItsWorkersReachLosesThemToTheNextOneSoon(long seed) {
+    World w = new World(seed, site(3, 60, List.of("a")));
+    JobSpec[] job = new JobSpec[2];
+    w.clock.at(
+        3_000,
+        () -> {
+          job[0] = EndOfDayTest.job(w, "a", Urgency.NORMAL, 60, 4, 100, 0);
+          w.user(job[0]);
+        });
+    w.clock.at(
+        60_000,
+        () -> {
+          int leader = leaderOf(w);
+          w.network.cut("n" + leader, World.STATE, true);
+          IntStream.range(0, 3).forEach(i -> w.network.cut("n" + leader, "n" + i, true));
+        });
+    w.clock.at(
+        64_000,
+        () -> {
+          job[1] = EndOfDayTest.job(w, "b", Urgency.HIGH, 4, 1, 5, 0);
+          w.user(job[1]);
+        });
+    w.clock.runUntil(300_000);
+    assertEquals(List.of(), w.checker.broken());
+    long begun = w.checker.begunMs(job[1].uid());
+    assertTrue(begun >= 0 && begun <= 80_000, "the next leader's first job began at " + begun);
+    // One task gave way to the pressing job.
+    assertEquals(65, w.checker.starts(), "each task began once: no lease ended");
+  }
+
+  @Test
+  void aFleetOfSeventeenHundredKeepsTheRulesThroughLossesATakeoverAndARestartOfAll() {
+    int nodes = 7;
+    World w = new World(11, site(nodes, 1_700, List.of("a", "b", "c")));
+    Random r = new Random(11);
+    for (int i = 0; i < 2_000; i++) {
+      int at = i < 400 ? 3_000 : 3_000 + r.nextInt(200_000);
+      w.clock.at(
+          at,
+          () -> {
+            boolean pressing = r.nextInt(3) == 0;
+            int tasks = r.nextInt(50) == 0 ? 500 : 1 + r.nextInt(30);
+            w.user(
+                EndOfDayTest.job(
+                    w,
+                    pressing ? "urgent" : "plain",
+                    pressing ? Urgency.HIGH : Urgency.NORMAL,
+                    tasks,
+                    1 + r.nextInt(4),
+                    5 + r.nextInt(40),
+                    60 + r.nextInt(120)));
+          });
+    }
+    List<SimWorker> silent = new ArrayList<>();
+    w.clock.at(
+        90_000,
+        () -> {
+          List<SimWorker> all = w.cloud.workers();
+          assertTrue(all.size() > 500, all.size() + " machines are up");
+          silent.addAll(all.stream().filter(x -> r.nextInt(4) == 0).toList());
+          cut(w, silent, nodes, true);
+        });
+    w.clock.at(95_000, () -> w.crash(leaderOf(w), 3_000));
+    w.clock.at(130_000, () -> cut(w, silent, nodes, false));
+    w.clock.at(150_000, () -> IntStream.range(0, nodes).forEach(n -> w.crash(n, 100 + 400 * n)));
+    w.clock.at(160_000, w::troublesAreOver);
+    w.clock.runUntil(420_000);
+    w.checker.endOfDay();
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(0, w.checker.neverBegun());
+    assertTrue(w.checker.jobsDone() >= 1_990, w.checker.jobsDone() + " jobs done");
+    assertTrue(w.state.requests.refused() < 0.02 * w.state.requests.asked(), "state requests");
+    assertTrue(w.state.changes.refused() < 0.02 * w.state.changes.asked(), "state changes");
+    assertEquals(0, w.cloud.requests.refused(), "cloud calls stay below their rate");
+  }
+
+  private static void cut(World w, List<SimWorker> workers, int nodes, boolean now) {
+    for (SimWorker x : workers) {
+      IntStream.range(0, nodes).forEach(i -> w.network.cut("n" + i, x.host(), now));
+    }
+  }
+}
