The whole fleet is asked for at the start; aims on starts and ends order and rent

Changes: only a leader that inherits machines or claims waits for reports; a group's rentals in a scan follow from the cloud's rate; the next aim that a job can still meet (due time, a multiple, a start or an end within a time) says by when it must start, and a start within a time rents for it.

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -41,11 +41,11 @@
   private static final int MAX_PER_RENTAL = 50;
   private static final int MAX_PER_RELEASE = 100;
 
-  /**
-   * Rentals of one group in one scan. The design has one; a fleet of hundreds would then take
-   * minutes to come up, as the cloud rents at most 50 machines at a time.
-   */
-  private static final int MAX_RENTALS_PER_SCAN = 4;
+  /** Part of what the cloud's rate allows between two scans that one group's rentals may take. */
+  private static final double GROUP_SHARE = 0.4;
+
+  /** Below the cloud's rate: what it counts as a second is not what we do. */
+  private static final double CLOUD_SHARE = 0.75;
 
   private static final double QUIET_IDLE_S = 8;
   private static final long RETIRING_IDLE_MS = 2_000;
@@ -108,6 +108,13 @@
   private final Term term;
   private final Host host;
   private final TokenBucket budget;
+
+  /**
+   * Machines of one group that may be rented in one scan. The design has one rental; a fleet of
+   * hundreds would then take minutes to come up, as the cloud rents at most 50 machines at a time.
+   */
+  private final int mostPerScan;
+
   private final Map<String, Claim> claims = new LinkedHashMap<>();
   private final Map<Group, Long> backoffUntilMs = new HashMap<>();
   private final Map<String, JsonNode> writtenBounds = new HashMap<>();
@@ -115,6 +122,7 @@
   private final Scope duties = new Scope();
   private long claimCounter;
   private boolean listedOnce;
+  private boolean inherited;
   private boolean listing;
   private boolean releaseBusy;
   private boolean typesBusy;
@@ -144,7 +152,9 @@
     this.term = term;
     this.host = host;
     double rps = settings.cloudLimits().rps();
-    this.budget = new TokenBucket(scheduler, rps * 0.75, Math.max(1, rps));
+    this.budget = new TokenBucket(scheduler, rps * CLOUD_SHARE, Math.max(1, rps));
+    this.mostPerScan =
+        MAX_PER_RENTAL * Math.max(1, (int) (rps * CLOUD_SHARE * policy.scanS() * GROUP_SHARE));
   }
 
   public Cancellable start() {
@@ -183,6 +193,7 @@
     }
     Group group = new Group(type.get(), zone.get(), v.path("spot").asBoolean());
     claims.put(name, new Claim(name, group, v.path("count").asInt(), true));
+    inherited = true;
   }
 
   /** Named from token and counter: no other leader, and no later rental of ours, has this name. */
@@ -341,8 +352,9 @@
       return false;
     }
     // Machines report in their own time: before most did, room that exists would be rented again.
+    // Where no earlier leader left any there is nothing to wait for, and work waits for the first.
     long settledMs = term.startMs() + Math.round(settings.workers().reportS() * 1250) + 1_500;
-    return scheduler.nowMs() >= settledMs || fleet.all().isEmpty();
+    return !inherited || scheduler.nowMs() >= settledMs;
   }
 
   private void scan() {
@@ -384,7 +396,7 @@
     }
     toRent.forEach(
         (g, n) -> {
-          int left = Math.min(n, MAX_PER_RENTAL * MAX_RENTALS_PER_SCAN);
+          int left = Math.min(n, mostPerScan);
           for (; left > 0; left -= MAX_PER_RENTAL) {
             rent(g, Math.min(MAX_PER_RENTAL, left), "work waits or a minimum is open");
           }
@@ -393,8 +405,7 @@
 
   private void offer(List<Demand.Offer> offers, Group g, int room) {
     if (room > 0 && !backedOff(g)) {
-      int most = MAX_PER_RENTAL * MAX_RENTALS_PER_SCAN;
-      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, most)));
+      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, mostPerScan)));
     }
   }
 
@@ -607,6 +618,7 @@
             unlisted(seen);
             boolean first = !listedOnce;
             listedOnce = true;
+            inherited |= first && !fleet.all().isEmpty();
             if (first) {
               scan();
             }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -104,6 +104,7 @@
   private final JobTable jobs;
   private final Fleet fleet;
   private final Estimates estimates = new Estimates();
+  private final Aims aims;
   private final Arrivals arrivals = new Arrivals();
   private final ProgressWriter writer;
   private final ReportDesk desk;
@@ -151,6 +152,7 @@
             this::owner,
             writer::isDurablyDone,
             new DeskEvents());
+    this.aims = new Aims(with.settings().objectives());
     this.placer =
         new Placer(
             with.catalogue(),
@@ -159,7 +161,7 @@
             teams,
             estimates,
             this::nextAttempt,
-            new Aims(with.settings().objectives()),
+            aims,
             Math.round(with.settings().workers().reportS() * 2_200 + 1_500),
             this::placed);
     this.rentals =
@@ -725,7 +727,7 @@
       long now = with.scheduler().nowMs();
       long wall = with.scheduler().wallMs();
       List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
-      Demand demand = new Demand(with.catalogue(), teams, estimates, with.policy().drainS());
+      Demand demand = new Demand(with.catalogue(), teams, estimates, aims, with.policy().drainS());
       List<Demand.Wanted> wanted =
           demand.plan(
               placer.waitingJobs(now, wall),
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.jobs.Job;
@@ -57,6 +58,7 @@
   private final Catalogue catalogue;
   private final TeamUsage teams;
   private final Estimates estimates;
+  private final Aims aims;
   private final double drainS;
   private final List<Virtual> coming = new ArrayList<>();
   private final List<OpenOffer> offers = new ArrayList<>();
@@ -76,10 +78,12 @@
   /** Part of the time that is left in which dear machines are to finish the work. */
   private static final double DEAR_WINDOW = 0.85;
 
-  public Demand(Catalogue catalogue, TeamUsage teams, Estimates estimates, double drainS) {
+  public Demand(
+      Catalogue catalogue, TeamUsage teams, Estimates estimates, Aims aims, double drainS) {
     this.catalogue = catalogue;
     this.teams = teams;
     this.estimates = estimates;
+    this.aims = aims;
     this.drainS = drainS;
   }
 
@@ -172,8 +176,17 @@
     if (guaranteed || job.spec().dueS().isEmpty()) {
       return drainS;
     }
-    double leftS = job.spec().dueS().getAsDouble() - (wallMs - job.acceptedWallMs()) / 1000.0;
-    return leftS < drainS ? leftS : Math.max(drainS, leftS * (dear ? DEAR_WINDOW : 0.5));
+    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
+    double leftS = job.spec().dueS().getAsDouble() - waitedS;
+    double horizonS = leftS < drainS ? leftS : Math.max(drainS, leftS * (dear ? DEAR_WINDOW : 0.5));
+    OptionalDouble lastStartS = aims.lastStartS(job);
+    double startLeftS = lastStartS.orElse(0) - waitedS;
+    if (startLeftS > 0 && !job.waiting().isEmpty()) {
+      // The last ones start when all others have run: that is one run before the work is through.
+      double startedS = startLeftS * (dear ? DEAR_WINDOW : 0.7) + estimates.runS(job);
+      horizonS = Math.min(horizonS, Math.max(drainS, startedS));
+    }
+    return horizonS;
   }
 
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -125,19 +125,20 @@
   }
 
   /**
-   * Slack to the first aim that can still be met: the due time, or the multiple of it that the
-   * class's aims also name. Empty when neither can be. Estimates are wrong by half, so a job that
-   * is a little late by its estimate is not given up.
+   * Slack to the first aim that can still be met: the due time, a multiple of it, or a start or an
+   * end within a time that the class's aims name. Empty when none can be. Estimates are wrong by
+   * half, so a job that is a little late by its estimate is not given up.
    */
   OptionalDouble openSlackS(Job job, long wallMs) {
-    double least = -(DOUBT * estimates.runS(job) + 2);
-    double slackS = slackS(job, wallMs);
-    if (slackS >= least) {
-      return OptionalDouble.of(slackS);
+    double runS = estimates.runS(job);
+    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
+    OptionalDouble byS = aims.startByS(job, runS, waitedS - DOUBT * runS - 2);
+    if (byS.isPresent()) {
+      return OptionalDouble.of(byS.getAsDouble() - waitedS);
     }
-    double times = aims.laterTimes(job);
-    double laterS = slackS + (times - 1) * job.spec().dueS().orElse(0);
-    return laterS >= least && times > 1 ? OptionalDouble.of(laterS) : OptionalDouble.empty();
+    return job.spec().dueS().isPresent()
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(slackS(job, wallMs));
   }
 
   public void run(long nowMs, long wallMs) {
