Cores count for a job only where it can run: small machines hid what large tasks lack

What was needed was compared with the cores of all machines; 300 machines of 4 cores are of no help to tasks of 8.

Change: what may be rented is counted for each set of groups (type, zone, kind) that some job can use: the need of the jobs that can use no others, less the machines there and what others run on them. Dear machines retire only when every such set has more than it needs.

Ruled out: refusals by the cloud (two thirds of the machines were never asked for), the team's limit.

Tests: DemandTest.

--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -739,7 +739,7 @@
               arrivals.coresForRate(estimates, wall),
               now,
               wall);
-      retire(usable, demand.dearSurplus());
+      retire(usable, demand);
       return wanted;
     }
 
@@ -747,8 +747,7 @@
      * Dear machines that nothing needs any more take no new work that could wait, so that they
      * empty and go back: a busy machine would otherwise stay for as long as any work waits.
      */
-    private void retire(List<Machine> usable, double surplus) {
-      double left = surplus;
+    private void retire(List<Machine> usable, Demand demand) {
       List<Machine> dear = new ArrayList<>();
       for (Machine m : usable) {
         m.retiring(false);
@@ -759,11 +758,7 @@
       }
       dear.sort(Comparator.comparingLong(m -> -m.free().cores()));
       for (Machine m : dear) {
-        left -= m.size().cores();
-        if (left < 0) {
-          return;
-        }
-        m.retiring(true);
+        m.retiring(demand.isDearSurplus(m));
       }
     }
 
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -1,10 +1,12 @@
 package org.ploverspindle.placement;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,6 +44,16 @@
     }
   }
 
+  /**
+   * Cores that may still be rented for jobs that can use the same groups of machines, in
+   * thousandths; at any price, and at a high one. Where only some types fit a task, the cores of
+   * all others are of no help to it, however many they are.
+   */
+  private static final class Balance {
+    private double allowed;
+    private double dearAllowed;
+  }
+
   private static final class OpenOffer {
     private final Offer offer;
     private int taken;
@@ -62,10 +74,10 @@
   private final double drainS;
   private final List<Virtual> coming = new ArrayList<>();
   private final List<OpenOffer> offers = new ArrayList<>();
+  private final Map<BitSet, Balance> balances = new LinkedHashMap<>();
+  private final BitSet everywhere = new BitSet();
   private double have;
   private double rentedCores;
-  private double coresAllowed;
-  private double dearCoresAllowed;
 
   /** A machine whose core costs this much more than the cheapest that there is counts as dear. */
   public static final double DEAR = 1.5;
@@ -113,10 +125,8 @@
     for (Virtual v : coming) {
       have += v.free.cores();
     }
-    coresAllowed =
-        Math.max(coresNeeded(all, nowMs, wallMs, false), coresForRate * RATE_ROOM) - have;
-    dearCoresAllowed =
-        Math.max(coresNeeded(all, nowMs, wallMs, true), coresForRate * RATE_ROOM_DEAR) - have;
+    everywhere.set(0, catalogue.types().size() * catalogue.zoneCount() * 2);
+    balance(all, machines, coresForRate, nowMs, wallMs);
     for (Job job : waiting) {
       serve(job, machines, Placer.starves(job, wallMs));
     }
@@ -131,39 +141,140 @@
     return wanted;
   }
 
-  /** Cores beyond what would be needed even at a high price, as of the last plan; thousandths. */
-  public double dearSurplus() {
-    return -dearCoresAllowed;
+  private int group(int type, int zone, boolean spot) {
+    return (type * catalogue.zoneCount() + zone) * 2 + (spot ? 1 : 0);
+  }
+
+  /** The groups of machines that the job's tasks may run on and fit. */
+  private BitSet groups(Job job) {
+    BitSet groups = new BitSet();
+    for (int t = job.types().nextSetBit(0); t >= 0; t = job.types().nextSetBit(t + 1)) {
+      for (int z = 0; z < catalogue.zoneCount(); z++) {
+        if (job.zone() < 0 || job.zone() == z) {
+          groups.set(group(t, z, false));
+          groups.set(group(t, z, true), job.spec().spot());
+        }
+      }
+    }
+    return groups;
   }
 
   /**
-   * Cores that finish each job's work within its window, in thousandths.
-   *
-   * @param dear what is needed even at a price several times as high
+   * For each set of groups that some job can use: what the jobs need that can use no others, less
+   * what there is of these machines and not taken by jobs that could run elsewhere.
    */
-  private double coresNeeded(Collection<Job> all, long nowMs, long wallMs, boolean dear) {
-    double needed = 0;
+  private void balance(
+      Collection<Job> all, List<Machine> machines, double coresForRate, long nowMs, long wallMs) {
+    Map<Job, BitSet> usable = new HashMap<>();
+    Map<Job, double[]> needs = new HashMap<>();
     Set<Job> guaranteed = guaranteed(all);
+    balances.put(everywhere, new Balance());
     for (Job job : all) {
-      if (job.over() || job.blocked()) {
-        continue;
+      BitSet groups = groups(job);
+      usable.put(job, groups);
+      if (!job.over() && !job.blocked()) {
+        balances.computeIfAbsent(groups, g -> new Balance());
+        boolean covered = guaranteed.contains(job);
+        needs.put(
+            job,
+            new double[] {
+              coresNeeded(job, covered, nowMs, wallMs, false),
+              coresNeeded(job, covered, nowMs, wallMs, true)
+            });
       }
-      double each = job.perTask().cores();
-      int open = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
-      if (job.spec().shape() != Shape.BATCH) {
-        needed += each * (open + job.live().size());
-        continue;
+    }
+    balances.forEach(
+        (groups, balance) -> {
+          double need = 0;
+          double dearNeed = 0;
+          for (Map.Entry<Job, double[]> e : needs.entrySet()) {
+            if (within(usable.get(e.getKey()), groups)) {
+              need += e.getValue()[0];
+              dearNeed += e.getValue()[1];
+            }
+          }
+          if (groups.equals(everywhere)) {
+            need = Math.max(need, coresForRate * RATE_ROOM);
+            dearNeed = Math.max(dearNeed, coresForRate * RATE_ROOM_DEAR);
+          }
+          double there = coresFor(groups, machines, usable);
+          balance.allowed = need - there;
+          balance.dearAllowed = dearNeed - there;
+        });
+  }
+
+  private static boolean within(BitSet part, BitSet whole) {
+    BitSet rest = (BitSet) part.clone();
+    rest.andNot(whole);
+    return rest.isEmpty();
+  }
+
+  private double coresFor(BitSet groups, List<Machine> machines, Map<Job, BitSet> usable) {
+    double cores = 0;
+    for (Machine m : machines) {
+      if (groups.get(group(m.type(), m.zone(), m.spot()))) {
+        cores += m.size().cores();
+        if (!groups.equals(everywhere)) {
+          for (Placement p : m.placements()) {
+            BitSet others = usable.get(p.job());
+            cores -= others != null && within(others, groups) ? 0 : p.job().perTask().cores();
+          }
+        }
       }
-      double runS = Math.max(1, estimates.runS(job));
-      double leftS = open * runS;
-      for (Placement p : job.live()) {
-        double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
-        leftS += Math.max(runS * 0.1, runS - ranS);
+    }
+    for (Virtual v : coming) {
+      if (groups.get(group(v.what.type(), v.what.zone(), v.what.spot()))) {
+        cores += catalogue.type(v.what.type()).size().cores();
+      }
+    }
+    return cores;
+  }
+
+  /**
+   * Can the machine go, as more would be there without it than is needed even at a high price? If
+   * so, it is counted as gone.
+   */
+  public boolean isDearSurplus(Machine m) {
+    int group = group(m.type(), m.zone(), m.spot());
+    for (Map.Entry<BitSet, Balance> e : balances.entrySet()) {
+      if (e.getKey().get(group) && -e.getValue().dearAllowed < m.size().cores()) {
+        return false;
       }
-      double horizon = Math.max(runS, horizonS(job, guaranteed.contains(job), wallMs, dear));
-      needed += each * Math.min(open + job.live().size(), leftS / horizon);
     }
-    return needed;
+    count(group, -m.size().cores());
+    return true;
+  }
+
+  /** So many cores come to a group, or go from it. */
+  private void count(int group, double cores) {
+    balances.forEach(
+        (groups, balance) -> {
+          if (groups.get(group)) {
+            balance.allowed -= cores;
+            balance.dearAllowed -= cores;
+          }
+        });
+  }
+
+  /**
+   * Cores that finish the job's work within its window, in thousandths.
+   *
+   * @param dear what is needed even at a price several times as high
+   */
+  private double coresNeeded(Job job, boolean covered, long nowMs, long wallMs, boolean dear) {
+    double each = job.perTask().cores();
+    int open = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+    if (job.spec().shape() != Shape.BATCH) {
+      return each * (open + job.live().size());
+    }
+    double runS = Math.max(1, estimates.runS(job));
+    double leftS = open * runS;
+    for (Placement p : job.live()) {
+      double ranS = p.runningSinceMs() < 0 ? 0 : (nowMs - p.runningSinceMs()) / 1000.0;
+      leftS += Math.max(runS * 0.1, runS - ranS);
+    }
+    double horizon = Math.max(runS, horizonS(job, covered, wallMs, dear));
+    return each * Math.min(open + job.live().size(), leftS / horizon);
   }
 
   /**
@@ -229,21 +340,24 @@
             || coming.stream()
                 .anyMatch(v -> allowed(job, v.what.type(), v.what.zone(), v.what.spot()));
     int atAnyRate = starves && need > 0 ? 1 : 0;
-    while (need > 0 && (coresAllowed > 0 || !anywhere || atAnyRate > 0)) {
+    Balance balance = balances.get(groups(job));
+    if (balance == null) {
+      return;
+    }
+    while (need > 0 && (balance.allowed > 0 || !anywhere || atAnyRate > 0)) {
       Optional<OpenOffer> offer = cheapest(job, need);
       if (offer.isEmpty()) {
         return;
       }
       OpenOffer o = offer.get();
-      if (anywhere && dearCoresAllowed <= 0 && isDear(job, o.offer)) {
+      if (anywhere && balance.dearAllowed <= 0 && isDear(job, o.offer)) {
         return;
       }
       o.taken++;
       atAnyRate--;
       Resources size = catalogue.type(o.offer.type()).size();
       rentedCores += size.cores();
-      coresAllowed -= size.cores();
-      dearCoresAllowed -= size.cores();
+      count(group(o.offer.type(), o.offer.zone(), o.offer.spot()), size.cores());
       Virtual fresh = new Virtual(new Coming(o.offer.type(), o.offer.zone(), o.offer.spot()), size);
       coming.add(fresh);
       need -= fill(fresh, job, need);
--- /dev/null
+++ b/src/test/java/org/ploverspindle/placement/DemandTest.java
@@ -0,0 +1,126 @@
+package org.ploverspindle.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Machine;
+
+class DemandTest {
+  private static final long NOW = 1_000_000;
+  private static final List<Demand.Offer> OFFERS =
+      List.of(new Demand.Offer(0, 0, true, 500), new Demand.Offer(1, 0, true, 500));
+
+  private final Catalogue catalogue = new Catalogue(List.of("a"));
+  private final TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
+
+  DemandTest() {
+    List<String> zones = List.of("a");
+    catalogue.update(
+        List.of(
+            new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 30, zones),
+            new MachineType("large", Resources.offered(16, 0, 64), 40, 1, 1.2, 0.4, 30, zones)));
+  }
+
+  private static Job job(double cores, int tasks, double runS, double dueS) {
+    JobSpec spec =
+        new JobSpec(
+            "run-1",
+            "c",
+            "red",
+            Shape.BATCH,
+            Urgency.NORMAL,
+            tasks,
+            cores,
+            0,
+            1,
+            Optional.empty(),
+            Optional.empty(),
+            false,
+            false,
+            true,
+            "i",
+            1,
+            runS,
+            0,
+            0,
+            OptionalDouble.of(dueS));
+    BitSet types = new BitSet();
+    types.set(cores > 4 ? 1 : 0, 2);
+    return new Job(spec, NOW, 80, 0, types, -1, 1);
+  }
+
+  private Machine idle(int i, int type) {
+    return new Machine("i-" + i, type, 0, true, catalogue.type(type).size(), NOW, 1);
+  }
+
+  /** Cores that are asked for, by type, for the one job that waits. */
+  private double[] rented(Job job, List<Machine> machines, Aims aims) {
+    double[] cores = new double[2];
+    new Demand(catalogue, teams, new Estimates(), aims, 30)
+        .plan(
+            List.of(job), List.of(job), machines, List.of(), OFFERS, Optional.empty(), 0, NOW, NOW)
+        .forEach(w -> cores[w.type()] += w.count() * (w.type() == 0 ? 4 : 16));
+    return cores;
+  }
+
+  @Test
+  void coresOfMachinesThatATaskDoesNotFitAreNoHelpToIt() {
+    Aims none = new Aims(List.of());
+    List<Machine> small = IntStream.range(0, 200).mapToObj(i -> idle(i, 0)).toList();
+    double[] withSmall = rented(job(8, 40, 50, 400), small, none);
+    double[] alone = rented(job(8, 40, 50, 400), List.of(), none);
+    assertTrue(alone[1] >= 80, "40 tasks of 8 cores and 50 s within half of 400 s");
+    assertEquals(alone[1], withSmall[1]);
+    assertEquals(0, withSmall[0]);
+  }
+
+  @Test
+  void coresThatFitAreCounted() {
+    List<Machine> large = IntStream.range(0, 40).mapToObj(i -> idle(i, 1)).toList();
+    assertEquals(0, rented(job(8, 40, 50, 400), large, new Aims(List.of()))[1]);
+    List<Machine> small = IntStream.range(0, 200).mapToObj(i -> idle(i, 0)).toList();
+    assertEquals(0, rented(job(2, 40, 50, 400), small, new Aims(List.of()))[0]);
+  }
+
+  @Test
+  void aStartWithinATimeNeedsMoreThanALateDueTime() {
+    Aims aims = new Aims(List.of(new Settings.Objective("wait", "c", 0.95, 1, 60)));
+    double patient = rented(job(8, 100, 50, 900), List.of(), new Aims(List.of()))[1];
+    double prompt = rented(job(8, 100, 50, 900), List.of(), aims)[1];
+    assertTrue(prompt >= 3 * patient, prompt + " cores against " + patient);
+  }
+
+  @Test
+  void theNextAimThatCanStillBeMetSaysByWhenAJobStarts() {
+    Aims aims =
+        new Aims(
+            List.of(
+                new Settings.Objective("deadline", "c", 0.9, 2, 0),
+                new Settings.Objective("wait", "c", 0.9, 1, 70),
+                new Settings.Objective("wait", "c", 0.9, 1, 1),
+                new Settings.Objective("finished", "c", 0.9, 1, 300)));
+    Job job = job(1, 1, 20, 80);
+    assertEquals(OptionalDouble.of(60), aims.startByS(job, 20, 0));
+    assertEquals(OptionalDouble.of(70), aims.startByS(job, 20, 61));
+    assertEquals(OptionalDouble.of(140), aims.startByS(job, 20, 71));
+    assertEquals(OptionalDouble.of(280), aims.startByS(job, 20, 141));
+    assertEquals(OptionalDouble.empty(), aims.startByS(job, 20, 281));
+    assertTrue(aims.prompt(job));
+    assertEquals(OptionalDouble.of(70), aims.lastStartS(job));
+  }
+}
