Machines that are silent and no longer listed are returned, which proves their tasks gone

Change: a machine that misses a report and that a list leaves out which can't be from before it was listed is returned; "by the time the response arrives, the machines and everything on them are gone". The list itself still proves nothing.

Ruled out: shorter proofs by silence (the lease may have been renewed until then).

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -630,8 +630,8 @@
     Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), scheduler.nowMs());
     m.ifPresent(
         machine -> {
-          machine.listed(true);
-          machine.listedAt(h.address());
+          machine.listedAt(scheduler.nowMs());
+          machine.addressListed(h.address());
           if (h.status() == CloudApi.HostStatus.FAILED && !machine.releasing()) {
             // It has stopped by itself; the answer to its release proves that all on it is gone.
             machine.releasing(true);
@@ -651,6 +651,10 @@
         continue;
       }
       int missed = missedLists.merge(m.host(), 1, Integer::sum);
+      if (!m.releasing() && isGone(m, now)) {
+        LOG.info("machine {} is silent and no longer listed: taken", m.host());
+        m.releasing(true);
+      }
       boolean old = now - m.knownSinceMs() > settings.cloudLimits().listLagS() * 2_500 + 5_000;
       if (missed >= 3 && old && m.empty() && now > fleet.leaseOverMs(m)) {
         LOG.info("machine {} is neither listed nor heard of: dropped", m.host());
@@ -660,6 +664,22 @@
     }
   }
 
+  /**
+   * Silent, and missing from a list that can't be from before it was listed: "once listed, a
+   * machine stays listed until it is gone". The list alone proves nothing here either, but
+   * returning such a machine costs nothing, and the answer to that is the proof, many seconds
+   * before its lease ends: for a wave of spot machines that are taken without notice.
+   */
+  private boolean isGone(Machine m, long now) {
+    long oldestListMs = Math.round(settings.cloudLimits().listLagS() * 2_000) + 1_000;
+    long silenceMs = Math.round(settings.workers().reportS() * 1_250) + 1_500;
+    // One that an earlier leader placed tasks on was rented before this term, if it was not listed.
+    long listedMs = m.listed() ? m.listedSinceMs() : term.startMs() + oldestListMs;
+    long heardMs = m.up() ? m.lastReportMs() : Math.max(m.knownSinceMs(), term.startMs());
+    boolean recorded = m.listed() || m.lastKnownTenure() > 0 && m.knownSinceMs() <= term.startMs();
+    return recorded && now - listedMs > oldestListMs && now - heardMs > silenceMs;
+  }
+
   private void refreshTypes() {
     if (typesBusy || !budget.tryTake(1)) {
       return;
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -41,6 +41,7 @@
   private long lastFailureMs;
   private long shunnedUntilMs = Long.MIN_VALUE / 2;
   private boolean listed;
+  private long listedSinceMs;
   private long fence;
   private boolean hears;
   private long deafSinceMs = -1;
@@ -136,7 +137,7 @@
   }
 
   /** What the list says, for a machine that has not reported in this term. */
-  public void listedAt(String listedAddress) {
+  public void addressListed(String listedAddress) {
     if (address.isEmpty()) {
       address = listedAddress;
     }
@@ -299,8 +300,14 @@
     return listed;
   }
 
-  public void listed(boolean now) {
-    listed = now;
+  public void listedAt(long nowMs) {
+    listedSinceMs = listed ? listedSinceMs : nowMs;
+    listed = true;
+  }
+
+  /** When a list named it first in this term; only if one did. */
+  public long listedSinceMs() {
+    return listedSinceMs;
   }
 
   /** Shunned for a while, longer each time in a row; a try after that brings new evidence. */
--- a/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -22,15 +22,20 @@
       new Settings.WorkerLimits(5, 26.5, 51.5);
 
   private static World.Site site(int nodes, int capacity, List<String> zones) {
+    return site(nodes, capacity, zones, 8, 0);
+  }
+
+  private static World.Site site(
+      int nodes, int capacity, List<String> zones, double listLagS, int poolMin) {
     return new World.Site(
         nodes,
         capacity,
         zones,
         SLOW_REPORTS,
         new Settings.StateLimits(120, 35, 8, 12),
-        new Settings.CloudLimits(8, 8),
+        new Settings.CloudLimits(8, listLagS),
         List.of(new Settings.Team("red", 8, 24, 0, 0), new Settings.Team("blue", 8, 0, 0, 0)),
-        new Policy(3, 30, 60, 0, Policy.UNBOUNDED, 30, Map.of()));
+        new Policy(3, 30, 60, poolMin, Policy.UNBOUNDED, 30, Map.of()));
   }
 
   private static int leaderOf(World w) {
@@ -96,6 +101,29 @@
     assertEquals(65, w.checker.starts(), "each task began once: no lease ended");
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void tasksOfMachinesTakenWithoutNoticeStartAgainBeforeTheLeaseWouldEnd(long seed) {
+    World w = new World(seed, site(3, 60, List.of("a"), 3, 20));
+    w.clock.at(3_000, () -> w.user(EndOfDayTest.job(w, "a", Urgency.NORMAL, 60, 4, 200, 0)));
+    int[] before = new int[2];
+    w.clock.at(
+        90_000,
+        () -> {
+          before[0] = w.checker.starts();
+          List<SimWorker> all = List.copyOf(w.cloud.workers());
+          all.subList(0, all.size() / 2).forEach(x -> w.cloud.take(x.host()));
+        });
+    w.clock.at(108_000, () -> before[1] = w.checker.starts());
+    w.clock.runUntil(500_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(60, before[0]);
+    int again = w.checker.starts() - before[0];
+    assertTrue(
+        again >= 20 && before[1] - before[0] >= again / 2,
+        before[1] - before[0] + " of " + again + " had started again after 18 s");
+  }
+
   @Test
   void aFleetOfSeventeenHundredKeepsTheRulesThroughLossesATakeoverAndARestartOfAll() {
     int nodes = 7;
--- a/src/test/java/org/ploverspindle/sim/SimCloud.java
+++ b/src/test/java/org/ploverspindle/sim/SimCloud.java
@@ -153,6 +153,11 @@
     }
   }
 
+  /** The cloud takes the machine back without notice. */
+  void take(String id) {
+    release(List.of(id));
+  }
+
   /** The machine stops by itself; the list tells it late. */
   void die(String id) {
     Rented r = machines.get(id);
