Machines of a type are spread over its zones: the first one no longer gets all

Among equals the zone that holds the fewest of the type is rented in. Test: DemandTest.machinesOfATypeAreSpreadOverItsZones.

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -372,8 +372,8 @@
           continue;
         }
         int room = bounds.get(z).max() - groups.get(z).held();
-        offer(offers, new Group(t, z, true), room);
-        offer(offers, new Group(t, z, false), room);
+        offer(offers, new Group(t, z, true), room, groups.get(z).held());
+        offer(offers, new Group(t, z, false), room, groups.get(z).held());
         int missing = Math.min(room, bounds.get(z).min() - groups.get(z).held());
         if (missing > 0) {
           // The minimum stands for what the pool must always have: ordinary machines where
@@ -403,9 +403,9 @@
         });
   }
 
-  private void offer(List<Demand.Offer> offers, Group g, int room) {
+  private void offer(List<Demand.Offer> offers, Group g, int room, int held) {
     if (room > 0 && !backedOff(g)) {
-      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, mostPerScan)));
+      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, mostPerScan), held));
     }
   }
 
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -26,8 +26,12 @@
  * room.
  */
 public final class Demand {
-  /** A group's kind that may be rented from now, and how many machines at most. */
-  public record Offer(int type, int zone, boolean spot, int room) {}
+  /**
+   * A group's kind that may be rented from now, and how many machines at most.
+   *
+   * @param held machines of the type that there are in the zone
+   */
+  public record Offer(int type, int zone, boolean spot, int room, int held) {}
 
   public record Wanted(int type, int zone, boolean spot, int count) {}
 
@@ -429,6 +433,17 @@
     }
   }
 
+  /** Also what is asked for in this plan, of either kind. */
+  private int held(OpenOffer of) {
+    int held = of.offer.held();
+    for (OpenOffer o : offers) {
+      if (o.offer.type() == of.offer.type() && o.offer.zone() == of.offer.zone()) {
+        held += o.taken;
+      }
+    }
+    return held;
+  }
+
   private static int fill(Virtual v, Job job, int need) {
     int n = Math.min(need, v.free.times(job.perTask()));
     for (int i = 0; i < n; i++) {
@@ -441,7 +456,11 @@
     return job.types().get(type) && (job.spec().spot() || !spot) && job.zoneAllowed(zone);
   }
 
-  /** Least price for each task that would run there; among equals the group with most room. */
+  /**
+   * Least price for each task that would run there; among equals the zone that holds the fewest of
+   * the type. By the source's formula all zones of a type have the same room below the pool's
+   * maximum, so that its machines would pile up in the first one, and go with it.
+   */
   private Optional<OpenOffer> cheapest(Job job, int need) {
     OpenOffer best = null;
     double bestCost = Double.MAX_VALUE;
@@ -452,7 +471,7 @@
       int slots = catalogue.type(o.offer.type()).size().times(job.perTask());
       double cost = catalogue.type(o.offer.type()).price(o.offer.spot()) / Math.min(slots, need);
       if (cost < bestCost - 1e-9
-          || best != null && cost < bestCost + 1e-9 && o.room() > best.room()) {
+          || best != null && cost < bestCost + 1e-9 && held(o) < held(best)) {
         best = o;
         bestCost = cost;
       }
--- a/src/test/java/org/ploverspindle/placement/DemandTest.java
+++ b/src/test/java/org/ploverspindle/placement/DemandTest.java
@@ -23,13 +23,13 @@
 class DemandTest {
   private static final long NOW = 1_000_000;
   private static final List<Demand.Offer> OFFERS =
-      List.of(new Demand.Offer(0, 0, true, 500), new Demand.Offer(1, 0, true, 500));
+      List.of(new Demand.Offer(0, 0, true, 500, 0), new Demand.Offer(1, 0, true, 500, 0));
 
-  private final Catalogue catalogue = new Catalogue(List.of("a"));
+  private final Catalogue catalogue = new Catalogue(List.of("a", "b", "c"));
   private final TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
 
   DemandTest() {
-    List<String> zones = List.of("a");
+    List<String> zones = List.of("a", "b", "c");
     catalogue.update(
         List.of(
             new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 30, zones),
@@ -61,7 +61,7 @@
             OptionalDouble.of(dueS));
     BitSet types = new BitSet();
     types.set(cores > 4 ? 1 : 0, 2);
-    return new Job(spec, NOW, 80, 0, types, -1, 1);
+    return new Job(spec, NOW, 80, 0, types, -1, 3);
   }
 
   private Machine idle(int i, int type) {
@@ -105,6 +105,24 @@
     assertTrue(prompt >= 3 * patient, prompt + " cores against " + patient);
   }
 
+  @Test
+  void machinesOfATypeAreSpreadOverItsZones() {
+    int[] rented = new int[3];
+    List<Demand.Offer> offers =
+        List.of(
+            new Demand.Offer(1, 0, true, 450, 30),
+            new Demand.Offer(1, 1, true, 450, 0),
+            new Demand.Offer(1, 2, true, 4, 0));
+    Job job = job(8, 100, 50, 60);
+    new Demand(catalogue, teams, new Estimates(), new Aims(List.of()), 30)
+        .plan(
+            List.of(job), List.of(job), List.of(), List.of(), offers, Optional.empty(), 0, NOW, NOW)
+        .forEach(w -> rented[w.zone()] += w.count());
+    assertEquals(50, rented[0] + rented[1] + rented[2]);
+    assertEquals(4, rented[2], "a zone with little room is used up");
+    assertTrue(Math.abs(rented[0] + 30 - rented[1]) <= 1, rented[0] + " and " + rented[1]);
+  }
+
   @Test
   void theNextAimThatCanStillBeMetSaysByWhenAJobStarts() {
     Aims aims =
