Leaders whose answers are lost stand back too; shorter holds; exposed work on ordinary machines; sockets

Changes: connections idle for three report periods are closed, and users are sent away before workers; followers tell a leader how many machines ask them as well, and it stands back when most do; a term that never heard its machines has twice the time; the hold is 2.5 s plus 250 ms by share of a core, 5 s at most; work of over 20 s that does not save prefers ordinary machines that are there.

Ruled out: memory (live heap 10 MB of 64 at 1,678 machines). Tried and not kept: XNIO's high and low water marks for connections, which did not take up accepting again in a test.

--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.HttpCloud;
 import org.ploverspindle.front.Door;
+import org.ploverspindle.leadership.Steward;
 import org.ploverspindle.loop.EventLoop;
 import org.ploverspindle.loop.Rank;
 import org.ploverspindle.net.HttpCaller;
@@ -25,6 +26,12 @@
  * A controller with its threads and sockets: one loop for decisions, one I/O thread for the rest.
  */
 final class Service {
+  private static final int STATE_LINES = 6;
+  private static final int CLOUD_LINES = 3;
+
+  /** Sockets that listen, and those that are being closed. */
+  private static final int SPARE = 10;
+
   private final EventLoop loop = new EventLoop();
   private final XnioWorker worker;
   private final Controller controller;
@@ -47,8 +54,8 @@
     controller =
         new Controller(
             loop,
-            new HttpStateStore(caller(buffers, settings.state().toString(), 6)),
-            new HttpCloud(caller(buffers, settings.cloud().toString(), 3)),
+            new HttpStateStore(caller(buffers, settings.state().toString(), STATE_LINES)),
+            new HttpCloud(caller(buffers, settings.cloud().toString(), CLOUD_LINES)),
             new HttpWorkerLine(
                 address -> HttpCaller.once(loop, worker.getIoThread(), buffers, address)),
             peers,
@@ -60,7 +67,10 @@
             loop,
             worker,
             settings.front(),
-            settings.quota().maxConnections(),
+            Door.Limits.of(
+                settings.quota().maxConnections(),
+                STATE_LINES + CLOUD_LINES + Steward.MOST_DIRECT + 3 * settings.nodes() + SPARE,
+                settings.workers().reportS()),
             controller,
             controller::ready);
   }
--- a/src/main/java/org/ploverspindle/front/Door.java
+++ b/src/main/java/org/ploverspindle/front/Door.java
@@ -26,6 +26,36 @@
   private static final int MAX_BODY = 64 * 1024;
   private static final String JOBS = "/submissions";
 
+  /**
+   * How many connections, and for how long without a request.
+   *
+   * @param maxConnections sockets that the process may have
+   * @param ours of these, those that we open ourselves
+   * @param idleMs a connection that a cut has left half-open looks idle, and takes a socket until
+   *     it is closed
+   */
+  public record Limits(int maxConnections, int ours, int idleMs) {
+    /**
+     * @param reportS workers report about so often, and their users ask as often
+     */
+    public static Limits of(int maxConnections, int ours, double reportS) {
+      return new Limits(
+          maxConnections,
+          Math.min(ours, maxConnections / 2),
+          (int) Math.max(10_000, 3_000 * reportS));
+    }
+
+    /** Connections that come in beyond these take the sockets of those that we open. */
+    int mostAccepted() {
+      return Math.max(2, maxConnections - ours);
+    }
+
+    /** With more than so many, users are sent away. */
+    int mostWithUsers() {
+      return mostAccepted() - Math.max(1, mostAccepted() / 25);
+    }
+  }
+
   /** What the door hands requests to, on the loop. */
   public interface Desk {
     void submit(byte[] body, Consumer<Answer> then);
@@ -43,21 +73,23 @@
   private final Desk desk;
   private final BooleanSupplier ready;
   private final int maxUserWork;
+  private final int mostWithUsers;
   private final Undertow server;
 
   public Door(
       EventLoop loop,
       XnioWorker worker,
       Address at,
-      int maxConnections,
+      Limits limits,
       Desk desk,
       BooleanSupplier ready) {
     this.loop = loop;
     this.desk = desk;
     this.ready = ready;
-    this.maxUserWork = Math.max(20, maxConnections / 8);
+    this.maxUserWork = Math.max(20, limits.maxConnections() / 8);
+    this.mostWithUsers = limits.mostWithUsers();
     HttpHandler limited =
-        Handlers.requestLimitingHandler(maxConnections, maxConnections, this::route);
+        Handlers.requestLimitingHandler(limits.mostAccepted(), limits.mostAccepted(), this::route);
     this.server =
         Undertow.builder()
             .setWorker(worker)
@@ -66,7 +98,8 @@
             .setDirectBuffers(true)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 5_000)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 60_000)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMs())
+            .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
@@ -144,6 +177,12 @@
 
   /** Under overload users are told at once to come back: workers and decisions go first. */
   private boolean admitted(HttpServerExchange exchange) {
+    if (connections() > mostWithUsers) {
+      // The sockets that are left are for workers: who can't report loses its tasks.
+      exchange.setPersistent(false);
+      send(exchange, Answer.later(503, "no connections are left", 2));
+      return false;
+    }
     if (loop.backlog(Rank.SUBMISSION) < maxUserWork) {
       return true;
     }
@@ -151,6 +190,10 @@
     return false;
   }
 
+  private long connections() {
+    return server.getListenerInfo().get(0).getConnectorStatistics().getActiveConnections();
+  }
+
   private interface WithBody {
     void accept(byte[] body, Consumer<Answer> then);
   }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,7 +1,9 @@
 package org.ploverspindle.leadership;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -77,7 +79,7 @@
   private static final int ANNOUNCED_AT_ONCE = 8;
 
   /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
-  private static final int MOST_DIRECT = 48;
+  public static final int MOST_DIRECT = 48;
 
   /** What a steward works with, the same in all terms. */
   public record Surroundings(
@@ -97,6 +99,9 @@
   /** A report whose answer waits for orders to become durable. */
   private record Held(Report report, Consumer<ReportDesk.Reply> then, long untilMs) {}
 
+  /** Reports that came to another controller in a second. */
+  private record Strays(long atMs, int reports) {}
+
   private final Surroundings with;
   private final Term term;
   private final Election election;
@@ -116,6 +121,7 @@
   private final long holdMs;
   private long attemptCounter;
   private final Map<String, Long> announcedMs = new HashMap<>();
+  private final Deque<Strays> strays = new ArrayDeque<>();
   private long lastHeardMs;
   private int mostHeard;
   private long placingTookMs;
@@ -495,13 +501,38 @@
     if (mayDecide()) {
       lost(fleet.expire(now));
       planPlacing();
-      if (isUnheard(now)) {
+      if (isUnanswered(now)) {
+        election.standBack("most machines look for another leader: they get no answers");
+      } else if (isUnheard(now)) {
         election.standBack(
             "hardly any machine is heard, the last " + (now - lastHeardMs) + " ms ago");
       }
     }
   }
 
+  /** So many reports came to another controller, which sends the machines here. */
+  public void strayed(int reports) {
+    strays.addLast(new Strays(with.scheduler().nowMs(), reports));
+  }
+
+  /**
+   * Reports come, and their senders ask other controllers as well: what is answered here does not
+   * arrive. In the first moments of a term all do, as they look for the leader.
+   */
+  private boolean isUnanswered(long now) {
+    long withinMs = Math.round(with.settings().workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
+    int reports = 0;
+    strays.removeIf(s -> now - s.atMs() > withinMs);
+    for (Strays s : strays) {
+      reports += s.reports();
+    }
+    int up = 0;
+    for (Machine m : fleet.all()) {
+      up += m.up() && now - m.lastReportMs() < 2 * withinMs ? 1 : 0;
+    }
+    return up >= MANY_MACHINES && now - term.startMs() > 2 * withinMs && reports * 5 > up * 3;
+  }
+
   /**
    * Nearly all machines are silent at once: it is this controller that they do not reach, and
    * another one may be reached by them. A lead that is kept by its hold alone would cost every
@@ -524,8 +555,11 @@
     if (expected < MANY_MACHINES) {
       return expected >= SOME_MACHINES && now - lastHeardMs >= 2 * withinMs;
     }
-    boolean fewerThanBefore = mostHeard * 2 > expected || now - lastHeardMs >= withinMs;
-    return now - term.startMs() >= withinMs && heard * 5 < expected && fewerThanBefore;
+    if (mostHeard * 2 <= expected) {
+      // From the start; an earlier leader that is cut off from us may still have the machines.
+      return now - lastHeardMs >= 2 * withinMs;
+    }
+    return now - term.startMs() >= withinMs && heard * 5 < expected;
   }
 
   /**
--- a/src/main/java/org/ploverspindle/leadership/Timing.java
+++ b/src/main/java/org/ploverspindle/leadership/Timing.java
@@ -16,16 +16,27 @@
   /** For timers that fire late and for a start or stop on its way inside a machine. */
   private static final double MARGIN_S = 2.5;
 
-  public static Timing of(Settings.WorkerLimits workers) {
+  /** A controller that stands still for less than this keeps the lead. */
+  private static final long LEAST_HOLD_MS = 2_500;
+
+  private static final long MOST_HOLD_MS = 5_000;
+
+  /** What is done in a moment by a whole core takes a small share of one so much longer. */
+  private static final double HOLD_FOR_SHARE_MS = 250;
+
+  /**
+   * Until a dead leader's hold ends, nothing starts: it is as short as the processor allows, whose
+   * pauses must not change the lead.
+   */
+  public static Timing of(Settings.WorkerLimits workers, double cores) {
     double lease = workers.leaseS() * DRIFT + 0.3;
     // A cancellation told right after the leader last read the state is unknown to it; its last
     // answer renews a lease once more. All of that must end before cancel_s.
     double answer = Math.max(0, (workers.cancelS() - MARGIN_S) / DRIFT - lease);
-    return new Timing(HOLD_MS, Math.round(answer * 1000), Math.round(lease * 1000));
+    long holdMs = Math.min(MOST_HOLD_MS, LEAST_HOLD_MS + Math.round(HOLD_FOR_SHARE_MS / cores));
+    return new Timing(holdMs, Math.round(answer * 1000), Math.round(lease * 1000));
   }
 
-  private static final long HOLD_MS = 5_000;
-
   /** From the send of the last answered renewal on, the hold lives at least this long. */
   public long holdSurelyMs() {
     return Math.round(holdMs / DRIFT) - 50;
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -53,6 +53,7 @@
   private final Peers peers;
   private final Scope duties = new Scope();
   private Optional<Steward> steward = Optional.empty();
+  private int strays;
   private volatile boolean ready;
 
   public Controller(
@@ -70,7 +71,7 @@
     this.peers = peers;
     this.replica = new Replica(loop, store, Keys.PREFIX, 700);
     this.catalogue = new Catalogue(settings.zones());
-    this.timing = Timing.of(settings.workers());
+    this.timing = Timing.of(settings.workers(), settings.quota().cores());
     this.writes =
         new TokenBucket(
             loop,
@@ -125,6 +126,8 @@
       if (steward.isPresent()) {
         replica.barrier(ok -> {});
       }
+    } else if (record instanceof PeerRecord.Strays strays) {
+      steward.ifPresent(s -> s.strayed(strays.reports()));
     } else if (record instanceof PeerRecord.Leading leading) {
       election.higherToken(leading.token());
     } else {
@@ -150,6 +153,7 @@
     replica.spacing(followerSpacingMs());
     duties.add(replica.start());
     duties.add(loop.every(500, this::look));
+    duties.add(loop.every(1_000, this::tellOfStrays));
     learnTypes();
   }
 
@@ -264,8 +268,19 @@
             a -> then.accept(new Answer(200, ReportCodec.encodeAnswer(a.token(), a.orders()), 0)));
   }
 
+  private void tellOfStrays() {
+    if (strays > 0) {
+      int reports = strays;
+      election
+          .leaderName()
+          .ifPresent(l -> peers.tell(l, new PeerRecord.Strays(settings.member(), reports)));
+      strays = 0;
+    }
+  }
+
   private Answer elsewhere() {
     Optional<String> leader = election.leaderName().filter(name -> !name.equals(settings.member()));
+    strays += leader.isPresent() ? 1 : 0;
     return leader
         .map(name -> Answer.elsewhere(name))
         .orElseGet(() -> Answer.later(503, "no leader is known", 1));
--- a/src/main/java/org/ploverspindle/peers/PeerCodec.java
+++ b/src/main/java/org/ploverspindle/peers/PeerCodec.java
@@ -20,6 +20,7 @@
   private static final int LEADING = 1;
   private static final int RESIGNED = 2;
   private static final int NEWS = 3;
+  private static final int STRAYS = 4;
 
   private PeerCodec() {}
 
@@ -44,6 +45,8 @@
         out.writeLong(leading.token());
       } else if (record instanceof PeerRecord.Resigned resigned) {
         out.writeLong(resigned.token());
+      } else if (record instanceof PeerRecord.Strays strays) {
+        out.writeInt(strays.reports());
       }
       DataOutputStream frame = new DataOutputStream(framed);
       frame.writeInt(body.size());
@@ -58,6 +61,9 @@
     if (record instanceof PeerRecord.Leading) {
       return LEADING;
     }
+    if (record instanceof PeerRecord.Strays) {
+      return STRAYS;
+    }
     return record instanceof PeerRecord.Resigned ? RESIGNED : NEWS;
   }
 
@@ -88,6 +94,7 @@
         case LEADING -> Optional.of(new PeerRecord.Leading(in.readUTF(), in.readLong()));
         case RESIGNED -> Optional.of(new PeerRecord.Resigned(in.readUTF(), in.readLong()));
         case NEWS -> Optional.of(new PeerRecord.News(in.readUTF()));
+        case STRAYS -> Optional.of(new PeerRecord.Strays(in.readUTF(), in.readInt()));
         default -> Optional.empty();
       };
     } catch (IOException e) {
--- a/src/main/java/org/ploverspindle/peers/PeerRecord.java
+++ b/src/main/java/org/ploverspindle/peers/PeerRecord.java
@@ -15,4 +15,10 @@
 
   /** The member wrote something that the leader should read soon: a job or a cancellation. */
   record News(String member) implements PeerRecord {}
+
+  /**
+   * So many reports came to the member in the last second, although it names the leader: machines
+   * that get no answer from the leader look for another one.
+   */
+  record Strays(String member, int reports) implements PeerRecord {}
 }
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -33,6 +33,14 @@
   /** The same for a job that should start at once: any machine that has its image comes first. */
   private static final double CORES_PER_FETCH_S_PROMPT = 200;
 
+  /**
+   * What saves its progress, or is short, loses little with a spot machine that is taken: it leaves
+   * the ordinary machines that there are to what would begin anew.
+   */
+  private static final double WRONG_KIND_CORES = 20;
+
+  private static final double SHORT_S = 20;
+
   /**
    * Jobs that wait for longer have a share of the cores of their own. Triage serves who can still
    * be in time, and under a lasting overload what stepped back for them, the largest above all,
@@ -295,6 +303,7 @@
   private Machine best(Job job, List<Machine> usable) {
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
+    boolean exposed = !job.spec().saves() && estimates.runS(job) > SHORT_S;
     double perFetchS = aims.prompt(job) ? CORES_PER_FETCH_S_PROMPT : CORES_PER_FETCH_S;
     for (Machine m : usable) {
       if (!takes(job, m)) {
@@ -305,6 +314,9 @@
               ? 0
               : job.spec().imageGb() / Math.max(0.01, catalogue.type(m.type()).fetchGbPerS());
       double score = m.free().cores() / 1000.0 + fetchS * perFetchS;
+      if (m.spot() == exposed && !m.retiring()) {
+        score += WRONG_KIND_CORES;
+      }
       if (score < bestScore) {
         bestScore = score;
         best = m;
--- a/src/test/java/org/ploverspindle/front/DoorTest.java
+++ b/src/test/java/org/ploverspindle/front/DoorTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.HttpURLConnection;
@@ -11,7 +12,11 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -66,7 +71,14 @@
     loop = new EventLoop();
     loop.start();
     worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-    door = new Door(loop, worker, new Address("127.0.0.1", port), 100, new Echo(), () -> ready);
+    door =
+        new Door(
+            loop,
+            worker,
+            new Address("127.0.0.1", port),
+            new Door.Limits(24, 4, 10_000),
+            new Echo(),
+            () -> ready);
     door.open();
   }
 
@@ -154,4 +166,50 @@
     }
     assertTrue(ready);
   }
+
+  @Test
+  void withHardlyAnySocketLeftUsersAreSentAwayAndWorkersServed() throws Exception {
+    List<Socket> open = new ArrayList<>();
+    try {
+      // Each has asked something, so that it is known to be accepted.
+      for (int i = 0; i < 20; i++) {
+        Socket s = new Socket("127.0.0.1", port);
+        s.setSoTimeout(5_000);
+        open.add(s);
+        assertEquals(421, ask(s, "POST", "/checkin"), "connection " + i);
+      }
+      assertEquals(503, ask(open.get(0), "GET", "/submissions/run-1"));
+      assertEquals(-1, open.get(0).getInputStream().read(), "its socket is free again");
+      assertEquals(421, ask(open.get(1), "POST", "/checkin"));
+      Socket next = new Socket("127.0.0.1", port);
+      next.setSoTimeout(5_000);
+      open.add(next);
+      assertEquals(421, ask(next, "POST", "/checkin"), "the freed socket serves another worker");
+      open.remove(19).close();
+      open.remove(18).close();
+      assertEquals(200, ask(open.get(2), "GET", "/submissions/run-1"));
+    } finally {
+      for (Socket s : open) {
+        s.close();
+      }
+    }
+  }
+
+  /** One request on a connection that stays open; says its status. */
+  private static int ask(Socket on, String method, String path) throws IOException {
+    String head = method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    on.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    InputStream in = on.getInputStream();
+    StringBuilder answer = new StringBuilder();
+    while (answer.indexOf("\r\n\r\n") < 0) {
+      int c = in.read();
+      if (c < 0) {
+        throw new IOException("ended after " + answer);
+      }
+      answer.append((char) c);
+    }
+    Matcher length = Pattern.compile("(?i)content-length: (\\d+)").matcher(answer);
+    in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+    return Integer.parseInt(answer.substring(9, 12));
+  }
 }
--- a/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -93,7 +93,8 @@
         List.of(
             new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, ZONES),
             new MachineType("large", Resources.offered(16, 0, 64), 40, 1, 1.1, 0.4, 5, ZONES)));
-    fleet = new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(5, 26.5, 51.5)), TERM);
+    fleet =
+        new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(5, 26.5, 51.5), 1), TERM);
     ReportDesk desk =
         new ReportDesk(
             fleet,
--- a/src/test/java/org/ploverspindle/placement/PlacerTest.java
+++ b/src/test/java/org/ploverspindle/placement/PlacerTest.java
@@ -66,14 +66,14 @@
         r.nextInt(3) > 0,
         "image-" + r.nextInt(4),
         1 + r.nextInt(3),
-        20,
-        0,
+        10 + r.nextInt(30),
+        r.nextBoolean() ? 15 : 0,
         0,
         OptionalDouble.of(300));
   }
 
   private Fleet fleet(Random r, int machines) {
-    Fleet fleet = new Fleet(catalogue, teams, Timing.of(WORKERS), TERM);
+    Fleet fleet = new Fleet(catalogue, teams, Timing.of(WORKERS, 1), TERM);
     ReportDesk desk =
         new ReportDesk(
             fleet,
@@ -131,6 +131,8 @@
                   && job.perTask().fitsIn(free.get(m));
           boolean has = images.getOrDefault(m, Set.of()).contains(job.spec().image());
           double score = free.get(m).cores() / 1000.0 + (has ? 0 : job.spec().imageGb() * 2);
+          boolean losesMuch = job.spec().saveEveryS() == 0 && job.spec().expectedS() > 20;
+          score += losesMuch == m.spot() ? 20 : 0;
           if (allowed && score < bestScore) {
             best = m;
             bestScore = score;
--- a/src/test/java/org/ploverspindle/placement/TriageTest.java
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -81,7 +81,7 @@
         List.of(
             new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
     Fleet fleet =
-        new Fleet(catalogue, TEAMS, Timing.of(new Settings.WorkerLimits(3, 14, 39)), TERM);
+        new Fleet(catalogue, TEAMS, Timing.of(new Settings.WorkerLimits(3, 14, 39), 1), TERM);
     desk(fleet)
         .take(
             new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()), NOW);
--- a/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -69,6 +69,46 @@
     assertEquals(80, w.checker.starts(), "each task began once: no lease ended");
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aLeaderWhoseAnswersAreAllLostIsReplacedAndTheFleetKept(long seed) {
+    World w = new World(seed, site(3, 60, List.of("a")));
+    w.clock.at(3_000, () -> w.user(EndOfDayTest.job(w, "a", Urgency.NORMAL, 80, 4, 100, 0)));
+    int[] machines = new int[1];
+    w.clock.at(
+        60_000,
+        () -> {
+          machines[0] = w.cloud.workers().size();
+          int leader = leaderOf(w);
+          w.network.mute("n" + leader, true);
+          w.clock.at(50_000, () -> w.network.mute("n" + leader, false));
+        });
+    w.clock.runUntil(100_000);
+    assertTrue(w.cloud.size() >= machines[0], "no machine was returned for what we did not hear");
+    w.clock.runUntil(400_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(80, w.checker.starts(), "each task began once: no lease ended");
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aLeaderThatStoodStillForLongerThanALeaseKeepsTheFleet(long seed) {
+    World w = new World(seed, site(3, 60, List.of("a")));
+    w.clock.at(3_000, () -> w.user(EndOfDayTest.job(w, "a", Urgency.NORMAL, 80, 4, 100, 0)));
+    int[] machines = new int[1];
+    w.clock.at(
+        60_000,
+        () -> {
+          machines[0] = w.cloud.workers().size();
+          w.freeze(leaderOf(w), 32_500);
+        });
+    w.clock.runUntil(100_000);
+    assertTrue(w.cloud.size() >= machines[0], "no machine was returned on timers that came late");
+    w.clock.runUntil(400_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(80, w.checker.starts(), "each task began once: no lease ended");
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void aLeaderThatOnlyItsWorkersReachLosesThemToTheNextOneSoon(long seed) {
--- a/src/test/java/org/ploverspindle/sim/SimClock.java
+++ b/src/test/java/org/ploverspindle/sim/SimClock.java
@@ -41,6 +41,7 @@
     private final double speed;
     private final long wallOffMs;
     private boolean dead;
+    private long standsStillUntilMs;
 
     Process(long offsetMs, double speed, long wallOffMs) {
       this.offsetMs = offsetMs;
@@ -48,6 +49,23 @@
       this.wallOffMs = wallOffMs;
     }
 
+    /** Nothing of it runs for a while, and its clock runs on; then all that is due runs. */
+    void freeze(long forMs) {
+      standsStillUntilMs = nowMs + forMs;
+    }
+
+    boolean standsStill() {
+      return nowMs < standsStillUntilMs;
+    }
+
+    private void run(Runnable work) {
+      if (standsStill()) {
+        at(standsStillUntilMs - nowMs, () -> run(work));
+      } else if (!dead) {
+        work.run();
+      }
+    }
+
     void kill() {
       dead = true;
     }
@@ -77,8 +95,8 @@
       at(
           Math.round(delayMs / speed),
           () -> {
-            if (!dead && !cancelled[0]) {
-              work.run();
+            if (!cancelled[0]) {
+              run(work);
             }
           });
       return () -> cancelled[0] = true;
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -10,6 +10,7 @@
   private final Random random;
   private final Set<String> cut = new HashSet<>();
   private final Set<String> deaf = new HashSet<>();
+  private final Set<String> mute = new HashSet<>();
   private double lateShare;
   private double copyShare;
 
@@ -32,6 +33,15 @@
     }
   }
 
+  /** What the node answers does not arrive; what it asks is answered. */
+  void mute(String node, boolean now) {
+    if (now) {
+      mute.add(node);
+    } else {
+      mute.remove(node);
+    }
+  }
+
   boolean hears(String host) {
     return !deaf.contains(host);
   }
@@ -81,7 +91,10 @@
 
   /** Sends an answer; false when it can't arrive. */
   boolean answer(String from, String to, Runnable deliver) {
-    if (!hears(to) || !reaches(from, to) || random.nextDouble() < lateShare) {
+    if (!hears(to)
+        || mute.contains(from)
+        || !reaches(from, to)
+        || random.nextDouble() < lateShare) {
       return false;
     }
     clock.at(1 + random.nextInt(15), deliver);
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -185,6 +185,10 @@
     }
   }
 
+  void freeze(int i, long forMs) {
+    processes.get(i).freeze(forMs);
+  }
+
   private static String node(int i) {
     return "n" + i;
   }
@@ -439,16 +443,21 @@
             return;
           }
           SimClock.Process p = processes.get(to);
-          controllers
-              .get(to)
-              .checkin(
-                  body,
-                  answer -> {
-                    countLost(from.host(), answer);
-                    if (!p.dead()) {
-                      network.answer(node(to), from.host(), () -> answered(from, serial, answer));
-                    }
-                  });
+          // What comes while it stands still is read when it goes on.
+          p.schedule(
+              0,
+              () ->
+                  controllers
+                      .get(to)
+                      .checkin(
+                          body,
+                          answer -> {
+                            countLost(from.host(), answer);
+                            if (!p.dead()) {
+                              network.answer(
+                                  node(to), from.host(), () -> answered(from, serial, answer));
+                            }
+                          }));
         },
         () -> {});
   }
@@ -539,7 +548,7 @@
           1 + random.nextInt(5),
           () -> {
             if (!p.dead()) {
-              request.accept(controllers.get(i));
+              p.schedule(0, () -> request.accept(controllers.get(i)));
             }
           });
     }
