--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -152,7 +152,9 @@
     this.term = term;
     this.host = host;
     double rps = settings.cloudLimits().rps();
-    this.budget = new TokenBucket(scheduler, rps * CLOUD_SHARE, Math.max(1, rps));
+    // Listing leaves one call for a rental: with room for one call alone it would never begin, and
+    // nothing is rented before the first list.
+    this.budget = new TokenBucket(scheduler, rps * CLOUD_SHARE, Math.max(2, rps));
     this.mostPerScan =
         MAX_PER_RENTAL * Math.max(1, (int) (rps * CLOUD_SHARE * policy.scanS() * GROUP_SHARE));
   }
--- a/src/test/java/org/ploverspindle/peers/PeerCodecTest.java
+++ b/src/test/java/org/ploverspindle/peers/PeerCodecTest.java
@@ -16,7 +16,8 @@
       List.of(
           new PeerRecord.Leading("n-1", 1L << 40),
           new PeerRecord.Resigned("n-2", 7),
-          new PeerRecord.News("a controller with a long name"));
+          new PeerRecord.News("a controller with a long name"),
+          new PeerRecord.Strays("n-3", 1_119));
 
   /** Records come in pieces of any size, as TCP has it. */
   @Test
--- a/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Urgency;
@@ -164,6 +165,46 @@
         before[1] - before[0] + " of " + again + " had started again after 18 s");
   }
 
+  /**
+   * Nodes, zones, requests and changes a second, value size, changes a transaction, cloud calls.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1, 1, 20, 6, 2, 4, 1",
+    "2, 3, 30, 8, 4, 6, 2",
+    "5, 8, 60, 20, 1024, 100, 5",
+    "9, 5, 150, 40, 64, 24, 30",
+    "13, 2, 400, 120, 16, 12, 3"
+  })
+  void settingsOfAnySizeStartAndServe(
+      int nodes, int zones, double rps, double writeRps, double valueKb, int txnOps, double calls) {
+    List<String> names = IntStream.range(0, zones).mapToObj(z -> "zone-" + z).toList();
+    List<Settings.Team> teams = new ArrayList<>();
+    IntStream.range(0, 30).forEach(t -> teams.add(new Settings.Team("team-" + t, 0, 0, 0, 0)));
+    teams.add(new Settings.Team("blue", 0, 0, 0, 0));
+    World w =
+        new World(
+            17,
+            new World.Site(
+                nodes,
+                120,
+                names,
+                SLOW_REPORTS,
+                new Settings.StateLimits(rps, writeRps, valueKb, txnOps),
+                new Settings.CloudLimits(calls, 4),
+                teams,
+                Policy.DEFAULT));
+    for (int i = 0; i < 40; i++) {
+      w.clock.at(
+          3_000 + 1_000 * i, () -> w.user(EndOfDayTest.job(w, "a", Urgency.HIGH, 20, 1, 5, 0)));
+    }
+    w.clock.at(60_000, () -> w.crash(leaderOf(w), 500));
+    w.clock.runUntil(300_000);
+    w.checker.endOfDay();
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(40, w.checker.jobsDone());
+  }
+
   @Test
   void aFleetOfSeventeenHundredKeepsTheRulesThroughLossesATakeoverAndARestartOfAll() {
     int nodes = 7;
