--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -27,6 +27,23 @@
     void placed(Placement p);
   }
 
+  /** A job with what it is sorted by, found out once and not in every comparison. */
+  private record Ranked(Job job, boolean beyondGuarantee, double slackS) {
+    static final Comparator<Ranked> ORDER =
+        (a, b) -> {
+          int byUrgency = a.job.spec().urgency().compareTo(b.job.spec().urgency());
+          if (byUrgency != 0) {
+            return byUrgency;
+          }
+          int byGuarantee = Boolean.compare(a.beyondGuarantee, b.beyondGuarantee);
+          if (byGuarantee != 0) {
+            return byGuarantee;
+          }
+          int bySlack = Double.compare(a.slackS, b.slackS);
+          return bySlack != 0 ? bySlack : a.job.uid().compareTo(b.job.uid());
+        };
+  }
+
   /** How many cores of room a second of fetching is worth when a machine is chosen. */
   private static final double CORES_PER_FETCH_S = 2;
 
@@ -103,18 +120,20 @@
 
   /** Jobs with tasks that could start now, in the order in which they are served. */
   public List<Job> waitingJobs(long nowMs, long wallMs) {
-    List<Job> waiting = new ArrayList<>();
+    List<Ranked> waiting = new ArrayList<>();
     for (Job job : jobs.all()) {
       if (!job.over() && !job.blocked() && !job.waiting().isEmpty() && !job.held(nowMs)) {
-        waiting.add(job);
+        waiting.add(
+            new Ranked(
+                job,
+                !teams.withinGuarantee(job.team(), job.perTask()),
+                openSlackS(job, wallMs).orElse(Double.MAX_VALUE)));
       }
     }
-    waiting.sort(
-        Comparator.comparing((Job j) -> j.spec().urgency())
-            .thenComparing(j -> !teams.withinGuarantee(j.team(), j.perTask()))
-            .thenComparingDouble(j -> openSlackS(j, wallMs).orElse(Double.MAX_VALUE))
-            .thenComparing(Job::uid));
-    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates).order(waiting);
+    waiting.sort(Ranked.ORDER);
+    List<Job> byStart = new ArrayList<>(waiting.size());
+    waiting.forEach(r -> byStart.add(r.job()));
+    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates).order(byStart);
   }
 
   /** Looks at every placement, and placing runs many times a second: kept for a moment. */
