--- a/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -3,16 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Field;
+import java.util.AbstractCollection;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -20,13 +27,18 @@
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.JobTable;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.Shape;
 import org.ploverspindle.jobs.TeamUsage;
 import org.ploverspindle.jobs.Urgency;
 import org.ploverspindle.leadership.Term;
 import org.ploverspindle.leadership.Timing;
+import org.ploverspindle.loop.EventLoop;
 import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.SpecRecord;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
 import org.ploverspindle.workers.Placement;
@@ -48,6 +60,7 @@
   private final Estimates estimates = new Estimates();
   private final Map<String, Job> jobs = new HashMap<>();
   private Fleet fleet;
+  private ReportDesk desk;
 
   private Job job(Random r, int i, Urgency urgency, int tasks) {
     JobSpec spec =
@@ -95,7 +108,7 @@
             new MachineType("large", Resources.offered(16, 0, 64), 40, 1, 1.1, 0.4, 5, ZONES)));
     fleet =
         new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(5, 26.5, 51.5), 1), TERM);
-    ReportDesk desk =
+    desk =
         new ReportDesk(
             fleet,
             TERM,
@@ -262,4 +275,120 @@
     assertTrue(plain.size() >= 5, plain.size() + " are stopped");
     assertEquals(plain, real);
   }
+
+  /** Counts what is gone through of a map; looking up one key is not counted. */
+  private static final class Counting<V> extends LinkedHashMap<String, V> {
+    private static final long serialVersionUID = 1L;
+    private long seen;
+
+    Counting(Map<String, V> from) {
+      super(from);
+    }
+
+    @Override
+    public Collection<V> values() {
+      Collection<V> all = super.values();
+      return new AbstractCollection<>() {
+        @Override
+        public Iterator<V> iterator() {
+          Iterator<V> each = all.iterator();
+          return new Iterator<>() {
+            @Override
+            public boolean hasNext() {
+              return each.hasNext();
+            }
+
+            @Override
+            public V next() {
+              seen++;
+              return each.next();
+            }
+          };
+        }
+
+        @Override
+        public int size() {
+          return all.size();
+        }
+      };
+    }
+  }
+
+  private static <V> Counting<V> count(Object owner, String field) throws Exception {
+    Field f = owner.getClass().getDeclaredField(field);
+    f.setAccessible(true);
+    @SuppressWarnings("unchecked")
+    Counting<V> counting = new Counting<>((Map<String, V>) f.get(owner));
+    f.set(owner, counting);
+    return counting;
+  }
+
+  @Test
+  void aReportLooksAtNoOtherMachineAndPlacingAtEachAFewTimes() throws Exception {
+    Random r = new Random(9);
+    fill(r, 1_700);
+    Counting<Machine> machines = count(fleet, "machines");
+    for (Machine m : List.copyOf(fleet.all()).subList(0, 200)) {
+      List<Report.Item> items = new ArrayList<>();
+      for (Placement p : m.placements()) {
+        items.add(
+            new Report.Item(
+                p.job().uid(),
+                p.task(),
+                p.attempt(),
+                items.isEmpty() ? Report.Phase.EXITED : Report.Phase.RUNNING,
+                items.isEmpty() ? Report.Cause.DONE : Report.Cause.NONE,
+                false));
+      }
+      machines.seen = 0;
+      desk.take(
+          new Report(
+              m.host(),
+              "",
+              catalogue.type(m.type()).name(),
+              catalogue.zoneName(m.zone()),
+              m.spot(),
+              1,
+              3,
+              7,
+              OptionalDouble.empty(),
+              items),
+          NOW);
+      assertEquals(0, machines.seen, "machines looked at for a report");
+    }
+
+    Replica none = new Replica(new EventLoop(), null, "x/", 700);
+    JobTable table = new JobTable(none, new SpecIndex(none), catalogue, teams);
+    for (int i = 1_000; i < 3_000; i++) {
+      JobSpec spec = job(r, i, Urgency.values()[r.nextInt(4)], 1 + r.nextInt(9)).spec();
+      table.add(new SpecIndex.Spec(spec.uid(), new SpecRecord(spec, NOW, 50).encode(), i, "k"));
+    }
+    Counting<Job> waiting = count(table, "jobs");
+    long[] attempt = {1 << 20};
+    int[] placed = {0};
+    Placer placer =
+        new Placer(
+            catalogue,
+            fleet,
+            table,
+            teams,
+            estimates,
+            () -> ++attempt[0],
+            new Aims(List.of()),
+            60_000,
+            p -> placed[0]++);
+    machines.seen = 0;
+    placer.run(NOW, NOW);
+    assertTrue(placed[0] > 100, placed[0] + " are placed");
+    assertTrue(machines.seen <= 3 * 1_700, machines.seen + " machines looked at in a run");
+    assertTrue(waiting.seen <= 2 * 2_000, waiting.seen + " jobs looked at in a run");
+    machines.seen = 0;
+    waiting.seen = 0;
+    placer.run(NOW + 40, NOW + 40);
+    assertTrue(machines.seen <= 2 * 1_700, machines.seen + " machines looked at in the next run");
+    Predicate<Machine> wanted = placer.wanted(NOW);
+    waiting.seen = 0;
+    fleet.all().forEach(wanted::test);
+    assertEquals(0, waiting.seen, "the jobs are gone through once for all idle machines");
+  }
 }
