Jobs that fail everywhere are tried one task at a time; machines are judged by jobs that run

Each of their tasks fails at once, and every machine that one failed on was shunned for 10 s for each failure in a row (16 tasks of one job: 80 s) and then given one task at a time. Three such jobs had most of 600 machines shunned at 33 s. Their waiting tasks were counted as need, as work before others and against the guarantee of their team, also while they were held.

Change: a job accuses a machine only once it has shown that it runs elsewhere (a task that completed, or one that runs well past the time at which others failed); a machine is returned on two such jobs or three such failures, and in doubt it is left alone for two seconds. A job that has shown nothing waits after each try, 1 s doubled up to 60 s, then one task is the try, on a machine where it has not failed. Only that task counts as need.

--- a/src/main/java/org/ploverspindle/jobs/Job.java
+++ b/src/main/java/org/ploverspindle/jobs/Job.java
@@ -10,6 +10,12 @@
 
 /** A job as the leader sees it during its term. */
 public final class Job {
+  private static final long FIRST_HOLD_MS = 1_000;
+  private static final long LONGEST_HOLD_MS = 60_000;
+
+  /** A task that runs for this much longer than others ran before they failed does not fail. */
+  private static final long RUNS_MS = 2_000;
+
   private final JobSpec spec;
   private final Resources perTask;
   private final long acceptedWallMs;
@@ -23,7 +29,9 @@
   private final int[] liveInZone;
   private final Map<Integer, Long> notBeforeMs = new HashMap<>();
   private final Set<String> failedOn = new HashSet<>();
-  private long heldUntilMs;
+  private long heldUntilMs = Long.MIN_VALUE / 2;
+  private long longestFailedMs;
+  private int tries;
   private int failures;
   private int completions;
   private boolean cancelled;
@@ -221,25 +229,66 @@
     return true;
   }
 
-  public void failedOn(String host, long nowMs) {
+  /**
+   * A task failed there after running for so long. A job that was submitted with a mistake fails
+   * everywhere until its user cancels it: as long as nothing of it has shown that it can run, it
+   * waits, longer each time, and then one task alone is the try.
+   */
+  public void failedOn(String host, long ranMs, long nowMs) {
     failures++;
     failedOn.add(host);
-    // A job submitted with a mistake fails everywhere: it must not keep the machines busy.
-    if (completions == 0 && failedOn.size() >= 3) {
-      heldUntilMs = nowMs + Math.min(60_000, 2_000L * (1L << Math.min(5, failedOn.size() - 3)));
+    longestFailedMs = Math.max(longestFailedMs, ranMs);
+    // What began together and fails together is one try.
+    if (!works(nowMs) && !held(nowMs)) {
+      heldUntilMs = nowMs + Math.min(LONGEST_HOLD_MS, FIRST_HOLD_MS << Math.min(10, tries));
+      tries++;
+    }
+  }
+
+  public boolean hasFailedOn(String host) {
+    return failedOn.contains(host);
+  }
+
+  /**
+   * Has it never failed, or shown that it can run: by a task that completed, or by one that runs on
+   * for well longer than those that failed had?
+   */
+  public boolean works(long nowMs) {
+    if (failures == 0 || completions > 0) {
+      return true;
     }
+    long enoughMs = longestFailedMs * 3 / 2 + RUNS_MS;
+    for (Placement p : live.values()) {
+      if (p.runningSinceMs() >= 0
+          && nowMs - p.runningSinceMs() >= enoughMs
+          && !failedOn.contains(p.machine().host())) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  /** Failed on three machines and never completed anywhere: the job, not the machines. */
-  public boolean looksBroken() {
-    return completions == 0 && failedOn.size() >= 3;
+  /** Failed on several machines, and runs nowhere: the job is at fault, not the machines. */
+  public boolean looksBroken(long nowMs) {
+    return failedOn.size() >= 2 && !works(nowMs);
   }
 
   public int failures() {
     return failures;
   }
 
-  public boolean held(long nowMs) {
+  private boolean held(long nowMs) {
     return heldUntilMs > nowMs;
   }
+
+  /** How many of its waiting tasks may be put on machines now. */
+  public int openTasks(long nowMs) {
+    if (waiting.isEmpty()) {
+      return 0;
+    }
+    if (works(nowMs) || spec.shape() == Shape.GANG && !held(nowMs)) {
+      return waiting.cardinality();
+    }
+    return held(nowMs) || !live.isEmpty() ? 0 : 1;
+  }
 }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -44,6 +44,7 @@
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.StateStore.Entry;
 import org.ploverspindle.state.TokenBucket;
+import org.ploverspindle.workers.Blame;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
 import org.ploverspindle.workers.Order;
@@ -109,6 +110,7 @@
   private final JobTable jobs;
   private final Fleet fleet;
   private final Estimates estimates = new Estimates();
+  private final Blame blame;
   private final Aims aims;
   private final Arrivals arrivals = new Arrivals();
   private final ProgressWriter writer;
@@ -158,6 +160,7 @@
             this::owner,
             writer::isDurablyDone,
             new DeskEvents());
+    this.blame = new Blame(this::works);
     this.aims = new Aims(with.settings().objectives());
     this.placer =
         new Placer(
@@ -703,7 +706,7 @@
     public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {
       Job job = p.job();
       if (cause != Report.Cause.NONE) {
-        LOG.info(
+        LOG.debug(
             "{}/{} ended on {}: {}{}",
             job.uid(),
             p.task(),
@@ -712,11 +715,7 @@
             saved ? ", saved" : "");
       }
       switch (cause) {
-        case ERROR -> {
-          job.failedOn(p.machine().host(), nowMs);
-          job.putOff(p.task(), nowMs + Math.min(20_000, 1_000L * (1 + job.failures())));
-          suspect(p.machine(), job);
-        }
+        case ERROR -> failed(p, nowMs);
         case NO_ROOM, BUSY -> job.putOff(p.task(), nowMs + 1_000);
         case NO_SUCH -> job.putOff(p.task(), nowMs + 4_000);
         default -> {}
@@ -742,17 +741,29 @@
     }
   }
 
-  /**
-   * Tasks of different jobs failed here in a row, or many of a job that completes elsewhere: the
-   * machine is at fault. A job that fails everywhere says nothing on its machines.
-   */
-  private void suspect(Machine m, Job job) {
-    if (!m.draining()
-        && !job.looksBroken()
-        && (m.failedJobs() >= 2 || m.failuresInRow() >= 3 && job.completions() > 0)) {
-      LOG.info("machine {} fails its tasks and is returned", m.host());
+  private boolean works(String uid) {
+    return jobs.get(uid)
+        .map(j -> j.works(with.scheduler().nowMs()))
+        .orElseGet(() -> with.replica().get(Keys.done(uid)).isPresent());
+  }
+
+  private void failed(Placement p, long now) {
+    Job job = p.job();
+    Machine m = p.machine();
+    boolean looked = job.looksBroken(now);
+    job.failedOn(m.host(), p.runningSinceMs() < 0 ? 0 : now - p.runningSinceMs(), now);
+    if (job.works(now)) {
+      job.putOff(p.task(), now + Math.min(20_000, 1_000L * (1 + job.failures())));
+    }
+    if (blame.failed(m, job, now) && !m.draining()) {
+      LOG.info("machine {} fails tasks of jobs that run elsewhere: it is returned", m.host());
       m.drain();
     }
+    if (!looked && job.looksBroken(now)) {
+      LOG.info(
+          "job {} fails on several machines and runs nowhere: one task is tried now and then",
+          job.uid());
+    }
   }
 
   private final class RentalHost implements Rentals.Host {
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -132,7 +132,7 @@
     everywhere.set(0, catalogue.types().size() * catalogue.zoneCount() * 2);
     balance(all, machines, coresForRate, nowMs, wallMs);
     for (Job job : waiting) {
-      serve(job, machines, Placer.starves(job, wallMs));
+      serve(job, machines, Placer.starves(job, wallMs), nowMs);
     }
     keepRate(all, coresForRate * RATE_ROOM_DEAR - haveNow());
     expected.ifPresent(job -> keepRoom(job, machines));
@@ -171,7 +171,7 @@
       Collection<Job> all, List<Machine> machines, double coresForRate, long nowMs, long wallMs) {
     Map<Job, BitSet> usable = new HashMap<>();
     Map<Job, double[]> needs = new HashMap<>();
-    Set<Job> guaranteed = guaranteed(all);
+    Set<Job> guaranteed = guaranteed(all, nowMs);
     balances.put(everywhere, new Balance());
     for (Job job : all) {
       BitSet groups = groups(job);
@@ -267,7 +267,7 @@
    */
   private double coresNeeded(Job job, boolean covered, long nowMs, long wallMs, boolean dear) {
     double each = job.perTask().cores();
-    int open = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+    int open = Math.min(job.openTasks(nowMs), teams.room(job.team(), job.perTask()));
     if (job.spec().shape() != Shape.BATCH) {
       return each * (open + job.live().size());
     }
@@ -305,7 +305,7 @@
   }
 
   /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
-  private Set<Job> guaranteed(Collection<Job> all) {
+  private Set<Job> guaranteed(Collection<Job> all, long nowMs) {
     Set<Job> covered = new HashSet<>();
     Map<Integer, Resources> asked = new HashMap<>();
     all.stream()
@@ -313,7 +313,11 @@
         .sorted(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid))
         .forEach(
             j -> {
-              long tasks = j.spec().tasks() - j.done().cardinality();
+              // What fails everywhere must not use up what its team is guaranteed.
+              long tasks =
+                  j.works(nowMs)
+                      ? j.spec().tasks() - j.done().cardinality()
+                      : Math.max(1, j.live().size());
               Resources r =
                   new Resources(j.perTask().cores() * tasks, j.perTask().accelerators() * tasks, 0);
               Resources sum = asked.merge(j.team(), r, Resources::plus);
@@ -329,8 +333,8 @@
    *     may run on is taken by others for long. It gets a machine whatever the sum says, if not a
    *     dear one.
    */
-  private void serve(Job job, List<Machine> machines, boolean starves) {
-    int need = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+  private void serve(Job job, List<Machine> machines, boolean starves, long nowMs) {
+    int need = Math.min(job.openTasks(nowMs), teams.room(job.team(), job.perTask()));
     for (Virtual v : coming) {
       if (need <= 0) {
         return;
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -57,6 +57,7 @@
   private static final double WRONG_KIND_CORES = 20;
 
   private static final double SHORT_S = 20;
+  private static final double FAILED_HERE_CORES = 10_000;
 
   /**
    * Jobs that wait for longer have a share of the cores of their own. Triage serves who can still
@@ -122,7 +123,7 @@
   public List<Job> waitingJobs(long nowMs, long wallMs) {
     List<Ranked> waiting = new ArrayList<>();
     for (Job job : jobs.all()) {
-      if (!job.over() && !job.blocked() && !job.waiting().isEmpty() && !job.held(nowMs)) {
+      if (!job.over() && !job.blocked() && job.openTasks(nowMs) > 0) {
         waiting.add(
             new Ranked(
                 job,
@@ -133,7 +134,7 @@
     waiting.sort(Ranked.ORDER);
     List<Job> byStart = new ArrayList<>(waiting.size());
     waiting.forEach(r -> byStart.add(r.job()));
-    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates).order(byStart);
+    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates, nowMs).order(byStart);
   }
 
   /** Looks at every placement, and placing runs many times a second: kept for a moment. */
@@ -205,8 +206,7 @@
     for (Job job : jobs.all()) {
       if (!job.over()
           && !job.blocked()
-          && !job.waiting().isEmpty()
-          && !job.held(nowMs)
+          && job.openTasks(nowMs) > 0
           && teams.room(job.team(), job.perTask()) > 0) {
         open.add(job);
       }
@@ -277,7 +277,8 @@
   private List<Placement> place(Job job, List<Machine> usable, long nowMs, int most) {
     List<Placement> placed = new ArrayList<>();
     int task = nextTask(job, 0, nowMs);
-    int limit = job.spec().shape() == Shape.GANG ? Integer.MAX_VALUE : most;
+    int open = job.openTasks(nowMs);
+    int limit = job.spec().shape() == Shape.GANG ? open : Math.min(most, open);
     while (task >= 0 && placed.size() < limit && teams.room(job.team(), job.perTask()) > 0) {
       Machine best = best(job, usable);
       if (best == null) {
@@ -336,6 +337,10 @@
       if (m.spot() == exposed && !m.retiring()) {
         score += WRONG_KIND_CORES;
       }
+      if (job.hasFailedOn(m.host())) {
+        // Only another machine can show whose fault it was.
+        score += FAILED_HERE_CORES;
+      }
       if (score < bestScore) {
         bestScore = score;
         best = m;
@@ -347,7 +352,7 @@
   private static boolean takes(Job job, Machine m) {
     return job.perTask().fitsIn(m.free())
         && allows(job, m)
-        && (m.failuresInRow() == 0 || m.placements().isEmpty());
+        && (!m.suspect() || m.placements().isEmpty());
   }
 
   /** Type, kind and zone as the job demands, given where its other tasks are. */
--- a/src/main/java/org/ploverspindle/placement/Preemption.java
+++ b/src/main/java/org/ploverspindle/placement/Preemption.java
@@ -109,7 +109,7 @@
     Set<Like> hopeless = new HashSet<>();
     int stopped = 0;
     for (Job job : pressing) {
-      int tasks = Math.min(job.waiting().cardinality(), teams.room(job.team(), job.perTask()));
+      int tasks = Math.min(job.openTasks(nowMs), teams.room(job.team(), job.perTask()));
       if (tasks <= 0 || stopped >= mostTasks) {
         continue;
       }
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -23,16 +23,22 @@
   private final Function<Job, OptionalDouble> openSlackS;
   private final Estimates estimates;
   private final Capacity capacity;
+  private final long nowMs;
 
-  Triage(Function<Job, OptionalDouble> openSlackS, Capacity capacity, Estimates estimates) {
+  Triage(
+      Function<Job, OptionalDouble> openSlackS,
+      Capacity capacity,
+      Estimates estimates,
+      long nowMs) {
+    this.nowMs = nowMs;
     this.openSlackS = openSlackS;
     this.estimates = estimates;
     this.capacity = capacity;
   }
 
-  /** Core seconds of the job's waiting tasks. */
+  /** Core seconds of the job's tasks that wait and may start. */
   private double work(Job job) {
-    return job.waiting().cardinality() * job.perTask().cores() * estimates.runS(job);
+    return job.openTasks(nowMs) * job.perTask().cores() * estimates.runS(job);
   }
 
   /** The same jobs; within an urgency, those that can be in time come first. */
--- /dev/null
+++ b/src/main/java/org/ploverspindle/workers/Blame.java
@@ -0,0 +1,57 @@
+package org.ploverspindle.workers;
+
+import java.util.Map;
+import java.util.function.Predicate;
+import org.ploverspindle.jobs.Job;
+
+/**
+ * Whose fault it is that a task failed. A job that was submitted with a mistake fails on every
+ * machine, and a machine that is broken fails every job: a job accuses a machine only once it has
+ * shown that it runs elsewhere, and a machine is returned only on that evidence. The first jobs
+ * with mistakes, some of hundreds of tasks, had a large part of a fleet shunned for a minute each.
+ */
+public final class Blame {
+  /** For each failure by a job that works elsewhere. */
+  private static final long SHUN_MS = 10_000;
+
+  private static final int MOST_COUNTED = 8;
+
+  /** For each job that may be the one at fault. */
+  private static final long DOUBT_MS = 2_000;
+
+  private static final int MOST_DOUBTS = 5;
+
+  /** So many failures of one job that works elsewhere are not its own. */
+  private static final int FAILURES = 3;
+
+  private static final int JOBS = 2;
+
+  private final Predicate<String> works;
+
+  /**
+   * @param works whether the job has shown that it can run; those that are done have
+   */
+  public Blame(Predicate<String> works) {
+    this.works = works;
+  }
+
+  /** A task failed on the machine; true when the machine is now known to be at fault. */
+  public boolean failed(Machine machine, Job job, long nowMs) {
+    int accusers = 0;
+    int failures = 0;
+    for (Map.Entry<String, Integer> e : machine.failures().entrySet()) {
+      if (works.test(e.getKey())) {
+        accusers++;
+        failures += e.getValue();
+      }
+    }
+    if (accusers > 0) {
+      machine.suspected();
+      machine.shun(nowMs + SHUN_MS * Math.min(MOST_COUNTED, failures));
+    } else if (!job.looksBroken(nowMs)) {
+      // Until somebody shows whose fault it is: a broken machine is empty, and would draw all work.
+      machine.shun(nowMs + DOUBT_MS * Math.min(MOST_DOUBTS, machine.failures().size()));
+    }
+    return accusers >= JOBS || accusers > 0 && failures >= FAILURES;
+  }
+}
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.ploverspindle.jobs.Resources;
 
 /** A machine as the leader sees it during its term. */
@@ -24,7 +22,7 @@
   private final Map<Long, Placement> placements = new HashMap<>();
   private final List<Orphan> orphans = new ArrayList<>();
   private final LinkedHashSet<String> images = new LinkedHashSet<>();
-  private final Set<String> failedJobs = new HashSet<>();
+  private final Map<String, Integer> failures = new HashMap<>();
   private Resources used = Resources.NONE;
   private String address = "";
   private long tenure;
@@ -37,7 +35,7 @@
   private boolean draining;
   private boolean releasing;
   private boolean retiring;
-  private int failuresInRow;
+  private boolean suspect;
   private long lastFailureMs;
   private long shunnedUntilMs = Long.MIN_VALUE / 2;
   private boolean listed;
@@ -310,30 +308,38 @@
     return listedSinceMs;
   }
 
-  /** Shunned for a while, longer each time in a row; a try after that brings new evidence. */
   void taskFailed(String uid, long nowMs) {
-    failuresInRow++;
+    failures.merge(uid, 1, Integer::sum);
     lastFailureMs = nowMs;
-    failedJobs.add(uid);
-    shunnedUntilMs = nowMs + 10_000L * Math.min(8, failuresInRow);
   }
 
   /** A completion clears the machine only if the task began after the last failure. */
   void taskCompleted(long runningSinceMs) {
-    if (failuresInRow > 0 && runningSinceMs <= lastFailureMs) {
+    if (!failures.isEmpty() && runningSinceMs <= lastFailureMs) {
       return;
     }
-    failuresInRow = 0;
-    failedJobs.clear();
+    failures.clear();
+    suspect = false;
     shunnedUntilMs = Long.MIN_VALUE / 2;
   }
 
-  public int failuresInRow() {
-    return failuresInRow;
+  /** By job, how many of its tasks have failed here since the last one that completed. */
+  Map<String, Integer> failures() {
+    return failures;
   }
 
-  public int failedJobs() {
-    return failedJobs.size();
+  /** No new tasks for a while. */
+  void shun(long untilMs) {
+    shunnedUntilMs = Math.max(shunnedUntilMs, untilMs);
+  }
+
+  /** Jobs that run elsewhere fail here: one task at a time is the trial from now on. */
+  void suspected() {
+    suspect = true;
+  }
+
+  public boolean suspect() {
+    return suspect;
   }
 
   /** May new tasks be put here? */
@@ -344,7 +350,7 @@
         && recalledAtMs < 0
         && nowMs >= shunnedUntilMs
         // After failures one task at a time is the trial: a whole job there would fail whole.
-        && (failuresInRow == 0 || placements.isEmpty())
+        && (!suspect || placements.isEmpty())
         && nowMs - lastReportMs <= silenceMs;
   }
 }
--- a/src/test/java/org/ploverspindle/placement/TriageTest.java
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -127,7 +127,7 @@
           return s < 0 ? OptionalDouble.empty() : OptionalDouble.of(s);
         };
     Estimates estimates = new Estimates();
-    return new Triage(slack, new Capacity(fleet(), estimates, NOW, 60_000), estimates)
+    return new Triage(slack, new Capacity(fleet(), estimates, NOW, 60_000), estimates, NOW)
         .order(List.of(byStart)).stream().map(Job::uid).toList();
   }
 
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -13,6 +13,9 @@
 
 /** Stand-in for a worker, by the protocol: sessions, leases, tokens, and one report in flight. */
 final class SimWorker {
+  /** Jobs of this class were submitted with a mistake: they fail on every machine. */
+  static final String BROKEN = "broken";
+
   /** How a worker gets a report to a node; the answer may never come. */
   interface Line {
     void report(SimWorker from, int node, Report report, long serial);
@@ -266,8 +269,8 @@
     }
     r.phase = Report.Phase.RUNNING;
     checker.starts(r.uid, r.task, place);
-    if (sick) {
-      clock.at(300, () -> end(r, Report.Cause.ERROR));
+    if (sick || spec.jobClass().equals(BROKEN)) {
+      clock.at(sick ? 300 : 20, () -> end(r, Report.Cause.ERROR));
     } else if (spec.expectedS() > 0) {
       clock.at(Math.round(spec.expectedS() * 1000), () -> end(r, Report.Cause.DONE));
     }
