--- /dev/null
+++ b/src/main/java/org/ploverspindle/cloud/Boots.java
@@ -0,0 +1,112 @@
+package org.ploverspindle.cloud;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.ploverspindle.workers.Machine;
+
+/**
+ * How long machines of each group take to come up at present, from our own rentals alone: the time
+ * since a machine was rented against what its type takes by the cloud's word. There are times when
+ * machines come several times later than that, or never.
+ */
+final class Boots {
+  /** Most machines are up after 1.5 times what their type takes. */
+  private static final double USUAL = 1.7;
+
+  private static final double USUAL_MORE_S = 5;
+
+  /** Where machines come late, the others are waited for by so much longer than the latest took. */
+  private static final double BEYOND_LATEST = 1.3;
+
+  /** What takes longer than this is not waited for, whatever others took. */
+  private static final double LONGEST = 6;
+
+  private static final double STUCK = 3;
+  private static final double STUCK_MORE_S = 15;
+
+  /** What came up longer ago says nothing about now. */
+  private static final long REMEMBERED_MS = 120_000;
+
+  /** Fewer machines that are overdue may be the odd ones that never come. */
+  private static final int SOME = 3;
+
+  private record Came(long atMs, double ratio) {}
+
+  private static final class Record {
+    private final Deque<Came> came = new ArrayDeque<>();
+    private int overdue;
+  }
+
+  private final Catalogue catalogue;
+  private final Map<Rentals.Group, Record> records = new HashMap<>();
+
+  Boots(Catalogue catalogue) {
+    this.catalogue = catalogue;
+  }
+
+  /** Looks at the machines anew: which have come up since the last look, and which are overdue. */
+  void look(Collection<Machine> machines, long nowMs) {
+    for (Record r : records.values()) {
+      r.overdue = 0;
+      r.came.removeIf(c -> nowMs - c.atMs() > REMEMBERED_MS);
+    }
+    for (Machine m : machines) {
+      if (!m.up()) {
+        if (!m.releasing() && isOverdue(m, nowMs)) {
+          of(m).overdue++;
+        }
+      } else if (m.takeCameUp() && m.rentedSinceMs() >= 0) {
+        double ratio = (m.upSinceMs() - m.rentedSinceMs()) / 1000.0 / bootS(m);
+        of(m).came.addLast(new Came(nowMs, ratio));
+      }
+    }
+  }
+
+  private Record of(Machine m) {
+    return records.computeIfAbsent(Rentals.Group.of(m), g -> new Record());
+  }
+
+  private double bootS(Machine m) {
+    return Math.max(1, catalogue.type(m.type()).bootS());
+  }
+
+  private static double ageS(Machine m, long nowMs) {
+    return (nowMs - m.bootingSinceMs()) / 1000.0;
+  }
+
+  private double latest(Rentals.Group g) {
+    double latest = 0;
+    Record r = records.get(g);
+    if (r != null) {
+      for (Came c : r.came) {
+        latest = Math.max(latest, c.ratio());
+      }
+    }
+    return latest;
+  }
+
+  /** It has not come when nearly all do, nor when the late ones of its group lately did. */
+  boolean isOverdue(Machine m, long nowMs) {
+    double latest = latest(Rentals.Group.of(m));
+    double ratio = latest > USUAL ? Math.min(LONGEST, latest * BEYOND_LATEST) : USUAL;
+    return ageS(m, nowMs) >= bootS(m) * ratio + USUAL_MORE_S;
+  }
+
+  /** It is taken for one that never comes. */
+  boolean isStuck(Machine m, long nowMs) {
+    double latest = Math.min(LONGEST, latest(Rentals.Group.of(m)) * BEYOND_LATEST);
+    return ageS(m, nowMs) > bootS(m) * Math.max(STUCK, latest) + STUCK_MORE_S;
+  }
+
+  /**
+   * Machines of the group are overdue, and more of them than have come up lately: whoever is
+   * pressed for time had better get another one.
+   */
+  boolean areBad(Rentals.Group g) {
+    Record r = records.get(g);
+    return r != null && r.overdue >= SOME && r.overdue > r.came.size();
+  }
+}
--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -57,7 +57,11 @@
   private static final double DEAF_LEASES = 3_000;
 
   /** A type's machines of one kind in one zone. */
-  record Group(int type, int zone, boolean spot) {}
+  record Group(int type, int zone, boolean spot) {
+    static Group of(Machine m) {
+      return new Group(m.type(), m.zone(), m.spot());
+    }
+  }
 
   /** What the rest of the leader has to do with rentals. */
   public interface Host {
@@ -87,7 +91,9 @@
     private final Group group;
     private final int count;
     private boolean recorded;
+    private final boolean byUs;
     private boolean asked;
+    private long askedMs;
     private Optional<List<String>> hosts = Optional.empty();
     private boolean removing;
 
@@ -96,6 +102,7 @@
       this.group = group;
       this.count = count;
       this.recorded = recorded;
+      this.byUs = !recorded;
     }
   }
 
@@ -120,6 +127,11 @@
 
   private final Map<String, Claim> claims = new LinkedHashMap<>();
   private final Map<Group, Long> backoffUntilMs = new HashMap<>();
+
+  /** Groups whose last rental was refused or partly filled: the next one is a try. */
+  private final Set<Group> edges = new HashSet<>();
+
+  private final Boots boots;
   private final Map<String, JsonNode> writtenBounds = new HashMap<>();
   private final Map<String, Integer> missedLists = new HashMap<>();
   private final Scope duties = new Scope();
@@ -161,6 +173,7 @@
     double calls = rps * CLOUD_SHARE * policy.scanS() * GROUP_SHARE;
     // Each is recorded before it is asked for, and the leader's other writes must not wait for it.
     double records = settings.stateLimits().writeRps() * policy.scanS() * RECORDS_SHARE;
+    this.boots = new Boots(catalogue);
     this.mostPerScan = MAX_PER_RENTAL * Math.max(1, (int) Math.min(calls, records));
   }
 
@@ -234,11 +247,20 @@
         });
   }
 
+  /**
+   * What one scan may rent of the group. After a refusal one rental is asked for before more: five
+   * at once were refused together, and their ten records held up a second's placements.
+   */
+  private int most(Group g) {
+    return edges.contains(g) ? MAX_PER_RENTAL : mostPerScan;
+  }
+
   private void ask(Claim claim) {
     if (claim.asked || !host.mayDecide() || !budget.tryTake(1)) {
       return;
     }
     claim.asked = true;
+    claim.askedMs = scheduler.nowMs();
     Group g = claim.group;
     cloud.rent(
         claim.name,
@@ -251,6 +273,7 @@
             rented(claim, rented.hosts());
           } else if (result instanceof CloudApi.RentResult.NoCapacity) {
             LOG.info("no capacity for {}", claim.name);
+            edges.add(g);
             backOff(g);
             removeClaim(claim);
           } else {
@@ -264,16 +287,22 @@
     claim.hosts = Optional.of(hosts);
     Group g = claim.group;
     if (hosts.size() < claim.count) {
+      edges.add(g);
       backOff(g);
+    } else {
+      edges.remove(g);
     }
     for (String id : hosts) {
       if (!fleet.wasReleased(id)) {
-        fleet.adopt(
-            id,
-            catalogue.type(g.type()).name(),
-            catalogue.zoneName(g.zone()),
-            g.spot(),
-            scheduler.nowMs());
+        fleet
+            .adopt(
+                id,
+                catalogue.type(g.type()).name(),
+                catalogue.zoneName(g.zone()),
+                g.spot(),
+                scheduler.nowMs())
+            .filter(m -> claim.byUs)
+            .ifPresent(m -> m.rentedAt(claim.askedMs));
       }
     }
   }
@@ -368,6 +397,7 @@
     if (!host.mayDecide() || !rebuilt()) {
       return;
     }
+    boots.look(fleet.all(), scheduler.nowMs());
     List<Demand.Offer> offers = new ArrayList<>();
     Map<Group, Integer> forMinimum = new LinkedHashMap<>();
     for (int t = 0; t < catalogue.types().size(); t++) {
@@ -403,7 +433,7 @@
     }
     toRent.forEach(
         (g, n) -> {
-          int left = Math.min(n, mostPerScan);
+          int left = Math.min(n, most(g));
           for (; left > 0; left -= MAX_PER_RENTAL) {
             rent(g, Math.min(MAX_PER_RENTAL, left), "work waits or a minimum is open");
           }
@@ -412,16 +442,18 @@
 
   private void offer(List<Demand.Offer> offers, Group g, int room, int held) {
     if (room > 0 && !backedOff(g)) {
-      offers.add(new Demand.Offer(g.type(), g.zone(), g.spot(), Math.min(room, mostPerScan), held));
+      offers.add(
+          new Demand.Offer(
+              g.type(), g.zone(), g.spot(), Math.min(room, most(g)), held, boots.areBad(g)));
     }
   }
 
   /** Machines that boot as expected, and rentals in flight. */
   private List<Demand.Coming> coming() {
     List<Demand.Coming> coming = new ArrayList<>();
+    long now = scheduler.nowMs();
     for (Machine m : fleet.all()) {
-      double ageS = (scheduler.nowMs() - m.knownSinceMs()) / 1000.0;
-      if (!m.up() && !m.releasing() && ageS < catalogue.type(m.type()).bootS() * 1.7 + 5) {
+      if (!m.up() && !m.releasing() && !boots.isOverdue(m, now)) {
         coming.add(new Demand.Coming(m.type(), m.zone(), m.spot()));
       }
     }
@@ -533,12 +565,16 @@
     if (m.empty() && (m.draining() || m.recalled())) {
       return true;
     }
-    double ageS = (now - m.knownSinceMs()) / 1000.0;
     if (!m.up()) {
-      boolean stuck = ageS > catalogue.type(m.type()).bootS() * 3 + 15;
-      if (stuck && now - term.startMs() > fleet.leaseOverMs(m) - m.knownSinceMs()) {
-        backOff(new Group(m.type(), m.zone(), m.spot()));
-        return m.placements().isEmpty();
+      // One that an earlier leader knew may be up and cut off: its lease must be over as well.
+      boolean silent = now - term.startMs() > fleet.leaseOverMs(m) - m.knownSinceMs();
+      if (boots.isStuck(m, now) && silent && m.placements().isEmpty()) {
+        LOG.info(
+            "machine {} has not come up in {} s: it is returned, and its group backs off",
+            m.host(),
+            (now - m.bootingSinceMs()) / 1000);
+        backOff(Group.of(m));
+        return true;
       }
       return false;
     }
@@ -638,6 +674,10 @@
     m.ifPresent(
         machine -> {
           machine.listedAt(scheduler.nowMs());
+          if (h.status() == CloudApi.HostStatus.BOOTING && !machine.up()) {
+            // The list is older than now by its lag, so this is not before the rental.
+            machine.rentedAt(scheduler.nowMs() - Math.round(h.ageS() * 1000));
+          }
           machine.addressListed(h.address());
           if (h.status() == CloudApi.HostStatus.FAILED && !machine.releasing()) {
             // It has stopped by itself; the answer to its release proves that all on it is gone.
--- a/src/main/java/org/ploverspindle/front/Answer.java
+++ b/src/main/java/org/ploverspindle/front/Answer.java
@@ -24,6 +24,15 @@
     return of(200, Cbor.map().put("status", line));
   }
 
+  /**
+   * What goes out for this answer when so much time has passed since it was made: a process that
+   * stood still in between must not say what others may have contradicted meanwhile.
+   */
+  Answer after(long ageMs, long keepsMs) {
+    boolean tells = status < 300 || status == 404;
+    return tells && ageMs > keepsMs ? later(503, "the answer is no longer new", 1) : this;
+  }
+
   /** Can't be done now: said at once, with when to come back. */
   public static Answer later(int status, String message, int afterS) {
     return new Answer(status, Cbor.write(Cbor.map().put("error", message)), afterS);
--- a/src/main/java/org/ploverspindle/front/Door.java
+++ b/src/main/java/org/ploverspindle/front/Door.java
@@ -26,6 +26,11 @@
   private static final int MAX_BODY = 64 * 1024;
   private static final String JOBS = "/submissions";
 
+  /** Users give up after two seconds, and workers after four. */
+  private static final long ANSWER_KEEPS_MS = 1_000;
+
+  private static final long REPORT_KEEPS_MS = 2_500;
+
   /**
    * How many connections, and for how long without a request.
    *
@@ -137,7 +142,7 @@
         }
       }
       case JOBS -> {
-        if (allow(exchange, method, Methods.POST) && admitted(exchange)) {
+        if (allow(exchange, method, Methods.POST) && admitted(exchange, Rank.SUBMISSION)) {
           body(exchange, desk::submit, Rank.SUBMISSION);
         }
       }
@@ -153,11 +158,11 @@
     String rest = path.substring(JOBS.length() + 1);
     int slash = rest.indexOf('/');
     if (slash < 0) {
-      if (allow(exchange, method, Methods.GET) && admitted(exchange)) {
-        hand(exchange, Rank.SUBMISSION, then -> desk.poll(rest, then));
+      if (allow(exchange, method, Methods.GET) && admitted(exchange, Rank.POLL)) {
+        hand(exchange, Rank.POLL, then -> desk.poll(rest, then));
       }
     } else if (rest.substring(slash).equals("/withdraw")) {
-      if (allow(exchange, method, Methods.POST) && admitted(exchange)) {
+      if (allow(exchange, method, Methods.POST) && admitted(exchange, Rank.SUBMISSION)) {
         String uid = rest.substring(0, slash);
         body(exchange, (bytes, then) -> desk.withdraw(uid, then), Rank.SUBMISSION);
       }
@@ -166,7 +171,7 @@
     }
   }
 
-  private static boolean allow(HttpServerExchange exchange, HttpString method, HttpString only) {
+  private boolean allow(HttpServerExchange exchange, HttpString method, HttpString only) {
     if (method.equals(only)) {
       return true;
     }
@@ -176,14 +181,14 @@
   }
 
   /** Under overload users are told at once to come back: workers and decisions go first. */
-  private boolean admitted(HttpServerExchange exchange) {
+  private boolean admitted(HttpServerExchange exchange, Rank rank) {
     if (connections() > mostWithUsers) {
       // The sockets that are left are for workers: who can't report loses its tasks.
       exchange.setPersistent(false);
       send(exchange, Answer.later(503, "no connections are left", 2));
       return false;
     }
-    if (loop.backlog(Rank.SUBMISSION) < maxUserWork) {
+    if (loop.backlog(rank) < maxUserWork) {
       return true;
     }
     send(exchange, Answer.later(429, "too much to do", 2));
@@ -216,7 +221,8 @@
   }
 
   private void hand(HttpServerExchange exchange, Rank rank, Consumer<Consumer<Answer>> work) {
-    Runnable task = () -> work.accept(a -> reply(exchange, a));
+    long keepsMs = rank == Rank.REPORT ? REPORT_KEEPS_MS : ANSWER_KEEPS_MS;
+    Runnable task = () -> work.accept(a -> reply(exchange, a, keepsMs));
     if (exchange.isInIoThread()) {
       exchange.dispatch(SameThreadExecutor.INSTANCE, () -> loop.execute(rank, task));
     } else {
@@ -224,14 +230,21 @@
     }
   }
 
-  private static void reply(HttpServerExchange exchange, Answer answer) {
-    exchange.getIoThread().execute(() -> send(exchange, answer));
+  private void reply(HttpServerExchange exchange, Answer answer, long keepsMs) {
+    long madeMs = loop.nowMs();
+    exchange
+        .getIoThread()
+        .execute(() -> send(exchange, answer.after(loop.nowMs() - madeMs, keepsMs)));
   }
 
-  private static void send(HttpServerExchange exchange, Answer answer) {
+  private void send(HttpServerExchange exchange, Answer answer) {
     if (exchange.isResponseStarted()) {
       return;
     }
+    if (answer.status() == 503 && !ready.getAsBoolean()) {
+      // A new connection leads to a controller that can answer; this one would ask here again.
+      exchange.setPersistent(false);
+    }
     exchange.setStatusCode(answer.status());
     if (answer.retryAfterS() > 0) {
       exchange.getResponseHeaders().put(Headers.RETRY_AFTER, answer.retryAfterS());
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -40,6 +40,16 @@
   private static final long BARRIER_LIMIT_MS = 1_400;
   private static final long CREATE_LIMIT_MS = 2_500;
   private static final int MOST_WAITING = 200;
+
+  /** The copy is read more often than that: who waits for the next read would wait in vain. */
+  private static final long STALE_MS = 4_000;
+
+  /** After a refusal for its rate every node keeps to its share of the changes for a while. */
+  private static final long STRICT_MS = 5_000;
+
+  /** Beyond the share one write in so long, while the state service refuses nobody. */
+  private static final long BEYOND_SHARE_MS = 60;
+
   private static final double REFUSED_COST = 2;
   private static final int MAX_VALUE_BYTES = 16 * 1024;
   private static final int MAX_TXN_BYTES = 56 * 1024;
@@ -69,6 +79,8 @@
   private long batches;
   private boolean creating;
   private boolean flushPlanned;
+  private long flushedMs = Long.MIN_VALUE / 2;
+  private long refusedMs = Long.MIN_VALUE / 2;
 
   /**
    * @param nonce names this process's records: no other's, and none of an earlier run's
@@ -101,18 +113,30 @@
 
   /** Calls with true at the barrier, or with false when it can't be had in the user's time. */
   private void barrier(Consumer<Boolean> then) {
+    long cameMs = scheduler.nowMs();
     boolean[] answered = {false};
     Consumer<Boolean> once =
         ok -> {
           if (!answered[0]) {
             answered[0] = true;
-            then.accept(ok);
+            // Where this process stood still in between, others may have said newer things.
+            then.accept(ok && scheduler.nowMs() - cameMs <= BARRIER_LIMIT_MS);
           }
         };
+    if (isStale()) {
+      // It is tried all the same, for those who come later; this one is told at once.
+      replica.barrier(ok -> {});
+      once.accept(false);
+      return;
+    }
     replica.barrier(once);
     scheduler.schedule(BARRIER_LIMIT_MS, () -> once.accept(false));
   }
 
+  private boolean isStale() {
+    return scheduler.nowMs() - replica.freshAsOfMs() > STALE_MS;
+  }
+
   // ---- polls
 
   /** The job's state by the copy; empty when the copy has no such job. */
@@ -177,7 +201,8 @@
       then.accept(Answer.error(400, "missing or invalid: uid"));
       return;
     }
-    if (!replica.loaded()) {
+    if (!replica.loaded() || isStale()) {
+      replica.barrier(ok -> {});
       then.accept(notNow());
       return;
     }
@@ -290,11 +315,15 @@
     if (creations.isEmpty()) {
       return;
     }
+    long now = scheduler.nowMs();
     int budget = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available()));
-    if (budget < 1) {
-      planFlush(40);
+    boolean beyond = budget < 1;
+    if (beyond && (now - refusedMs < STRICT_MS || now - flushedMs < BEYOND_SHARE_MS)) {
+      planFlush(20);
       return;
     }
+    budget = Math.max(1, budget);
+    flushedMs = now;
     List<Creation> batch = new ArrayList<>();
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
@@ -325,7 +354,9 @@
       bytes += size + 200;
     }
     creating = true;
-    writes.take(changes.size());
+    if (!beyond) {
+      writes.take(changes.size());
+    }
     store.txn(new StateStore.Txn(conditions, changes), r -> created(batch, r));
   }
 
@@ -354,6 +385,7 @@
     } else if (result instanceof TxnResult.Refused) {
       // All nodes together ask for more than the service gives: the leader's writes go first.
       writes.take(REFUSED_COST);
+      refusedMs = scheduler.nowMs();
       batch.forEach(c -> c.answer(Answer.later(503, "the state service refuses", 1)));
     } else {
       // It may stand or may yet come to stand: only what is read back is said.
--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -101,6 +101,7 @@
   private boolean endsWaited;
   private boolean closed;
   private int failures;
+  private long failingSinceMs = -1;
 
   public ProgressWriter(
       Scheduler scheduler,
@@ -186,6 +187,11 @@
     }
   }
 
+  /** Since when no write has been carried out although some were tried, or -1. */
+  public long failingSinceMs() {
+    return failingSinceMs;
+  }
+
   /** How much waits to be written. */
   public int backlog() {
     return dirty.size() + ending.size();
@@ -484,12 +490,17 @@
     }
     if (result instanceof TxnResult.Committed committed) {
       failures = 0;
+      failingSinceMs = -1;
       committed(batch, committed.ledger());
       plan(8);
       return;
     }
     failures++;
     again(batch);
+    boolean tooMany = result instanceof TxnResult.Refused r && r.status() == 429;
+    if (failingSinceMs < 0 && !tooMany && !(result instanceof TxnResult.Conflict)) {
+      failingSinceMs = scheduler.nowMs();
+    }
     if (result instanceof TxnResult.Refused refused) {
       if (refused.status() == 400) {
         LOG.error("the state service calls a write malformed: {} changes", batch.changes.size());
--- a/src/main/java/org/ploverspindle/jobs/TeamUsage.java
+++ b/src/main/java/org/ploverspindle/jobs/TeamUsage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.ploverspindle.settings.Settings;
 
 /** What each team's tasks take, from the intent until they are proven gone, and its bounds. */
@@ -67,4 +68,12 @@
   public long cores(int team) {
     return cores[team];
   }
+
+  /** Cores, in thousandths, that the team's limit leaves; empty when it has none. */
+  public OptionalLong coreRoom(int team) {
+    double limit = teams.get(team).coresMax();
+    return limit <= 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.max(0, (long) Math.floor(limit * 1000 + 1e-6) - cores[team]));
+  }
 }
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -90,6 +90,11 @@
     return replica.text(Keys.LEADER, "member");
   }
 
+  /** The first token of the leader by the copy, also another node's. */
+  public Optional<Long> leaderToken() {
+    return replica.get(Keys.LEADER).map(e -> e.value().path("token").asLong());
+  }
+
   /** May this node decide? Only while its hold certainly lives. */
   public boolean mayDecide() {
     return term.isPresent() && scheduler.nowMs() < holdSentMs + timing.holdSurelyMs();
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/Reach.java
@@ -0,0 +1,145 @@
+package org.ploverspindle.leadership;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+
+/**
+ * Do the machines reach this leader, and do its answers reach them? A lead that is kept by its hold
+ * alone would cost every lease. Nothing is concluded here about any one machine.
+ */
+final class Reach {
+  /** So many machines do not all fall silent at once by chance; fewer are given more time. */
+  private static final int MANY_MACHINES = 20;
+
+  private static final int SOME_MACHINES = 4;
+  private static final long SILENCE_MARGIN_MS = 2_000;
+
+  /** A look that comes so late after the one before: meanwhile it was we who did not listen. */
+  private static final long PAUSE_MS = 1_200;
+
+  /** Reports that came to another controller in a second. */
+  private record Strays(long atMs, int reports) {}
+
+  private final Fleet fleet;
+  private final Term term;
+  private final boolean alone;
+  private final long withinMs;
+  private final long hushMs;
+  private final Deque<Strays> strays = new ArrayDeque<>();
+  private long lastHeardMs;
+  private long lastLookMs;
+  private long listeningSinceMs;
+  private int mostHeard;
+
+  Reach(Fleet fleet, Term term, Settings settings) {
+    this.fleet = fleet;
+    this.term = term;
+    this.alone = settings.nodes() < 2;
+    this.withinMs = Math.round(settings.workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
+    this.hushMs = Math.round(settings.workers().reportS() * 650);
+    this.lastHeardMs = term.startMs();
+    this.lastLookMs = term.startMs();
+    this.listeningSinceMs = term.startMs();
+  }
+
+  void heard(long nowMs) {
+    lastHeardMs = nowMs;
+  }
+
+  /** So many reports of machines that had our answers before came to another controller. */
+  void strayed(long nowMs, int reports) {
+    strays.addLast(new Strays(nowMs, reports));
+  }
+
+  /** Since when this leader has listened without a pause. */
+  long listeningSinceMs() {
+    return listeningSinceMs;
+  }
+
+  /**
+   * Called again and again; says why another controller would lead better, if so.
+   *
+   * <p>A process that stood still finds reports that it has not read, and machines that gave it up
+   * meanwhile: what it missed says nothing about them or about its lines, so it listens anew first.
+   */
+  Optional<String> trouble(long nowMs) {
+    if (nowMs - lastLookMs > PAUSE_MS) {
+      listeningSinceMs = nowMs;
+      strays.clear();
+    }
+    lastLookMs = nowMs;
+    strays.removeIf(s -> nowMs - s.atMs() > withinMs);
+    if (alone || nowMs - listeningSinceMs < withinMs) {
+      return Optional.empty();
+    }
+    if (isUnanswered(nowMs)) {
+      return Optional.of("most machines look for another leader: they get no answers");
+    }
+    return isUnheard(nowMs)
+        ? Optional.of("hardly any machine is heard, the last " + (nowMs - lastHeardMs) + " ms ago")
+        : Optional.empty();
+  }
+
+  /**
+   * Reports come, and their senders ask other controllers as well, although they had answers of
+   * ours; or after a good while next to none of them has ever shown our token.
+   */
+  private boolean isUnanswered(long nowMs) {
+    if (nowMs - listeningSinceMs < 2 * withinMs) {
+      return false;
+    }
+    int reports = strayed();
+    int up = 0;
+    int old = 0;
+    int hear = 0;
+    for (Machine m : fleet.all()) {
+      if (m.up() && nowMs - m.lastReportMs() < 2 * withinMs) {
+        up++;
+        // Those that have just come up have not had the time to show what they heard.
+        boolean settled = nowMs - m.upSinceMs() >= 2 * withinMs;
+        old += settled ? 1 : 0;
+        hear += settled && m.hears() ? 1 : 0;
+      }
+    }
+    return up >= MANY_MACHINES && reports * 5 > up * 3 || old >= MANY_MACHINES && hear * 5 < old;
+  }
+
+  private int strayed() {
+    int reports = 0;
+    for (Strays s : strays) {
+      reports += s.reports();
+    }
+    return reports;
+  }
+
+  /**
+   * Nearly all machines are silent at once: it is this controller that they do not reach, and
+   * another one may be reached by them. Where most were silent from the start, another leader would
+   * hear no more. Where many of them ask others meanwhile, a moment's silence is enough: who is
+   * sent back here by those waits for four seconds each time, and its lease does not.
+   */
+  private boolean isUnheard(long nowMs) {
+    int expected = 0;
+    int heard = 0;
+    for (Machine m : fleet.all()) {
+      heard += m.up() && nowMs - m.lastReportMs() < withinMs ? 1 : 0;
+      expected += m.up() || !m.placements().isEmpty() ? 1 : 0;
+    }
+    mostHeard = Math.max(mostHeard, heard);
+    if (expected < MANY_MACHINES) {
+      return expected >= SOME_MACHINES && nowMs - lastHeardMs >= 2 * withinMs;
+    }
+    if (nowMs - lastHeardMs >= hushMs && strayed() * 3 > expected) {
+      return true;
+    }
+    if (mostHeard * 2 <= expected) {
+      // From the start; an earlier leader that is cut off from us may still have the machines.
+      return nowMs - lastHeardMs >= 2 * withinMs;
+    }
+    return heard * 5 < expected;
+  }
+}
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -1,9 +1,7 @@
 package org.ploverspindle.leadership;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -68,11 +66,8 @@
 
   private static final long REMEMBERED_MS = 120_000;
 
-  /** So many machines do not all fall silent at once by chance; fewer are given more time. */
-  private static final int MANY_MACHINES = 20;
-
-  private static final int SOME_MACHINES = 4;
-  private static final long SILENCE_MARGIN_MS = 2_000;
+  /** A leader that has written nothing for so long is of no use. */
+  private static final long USELESS_MS = 5_000;
 
   private static final long ANNOUNCE_MS = 600;
   private static final long ANNOUNCE_FROM_MS = 2_400;
@@ -100,9 +95,6 @@
   /** A report whose answer waits for orders to become durable. */
   private record Held(Report report, Consumer<ReportDesk.Reply> then, long untilMs) {}
 
-  /** Reports that came to another controller in a second. */
-  private record Strays(long atMs, int reports) {}
-
   private final Surroundings with;
   private final Term term;
   private final Election election;
@@ -111,6 +103,7 @@
   private final Fleet fleet;
   private final Estimates estimates = new Estimates();
   private final Blame blame;
+  private final Reach reach;
   private final Aims aims;
   private final Arrivals arrivals = new Arrivals();
   private final ProgressWriter writer;
@@ -123,9 +116,6 @@
   private final long holdMs;
   private long attemptCounter;
   private final Map<String, Long> announcedMs = new HashMap<>();
-  private final Deque<Strays> strays = new ArrayDeque<>();
-  private long lastHeardMs;
-  private int mostHeard;
   private long placingTookMs;
   private long placingFromMs = Long.MIN_VALUE;
   private boolean placingPlanned;
@@ -161,6 +151,7 @@
             writer::isDurablyDone,
             new DeskEvents());
     this.blame = new Blame(this::works);
+    this.reach = new Reach(fleet, term, with.settings());
     this.aims = new Aims(with.settings().objectives());
     this.placer =
         new Placer(
@@ -190,7 +181,6 @@
 
   public void start() {
     long now = with.scheduler().nowMs();
-    lastHeardMs = now;
     with.specs().uids().stream()
         .flatMap(uid -> with.specs().get(uid).stream())
         .sorted(Comparator.comparingLong(spec -> SpecRecord.acceptedWallMs(spec.value())))
@@ -360,7 +350,7 @@
   public void report(Report report, Consumer<ReportDesk.Reply> then) {
     release(report.host());
     long now = with.scheduler().nowMs();
-    lastHeardMs = now;
+    reach.heard(now);
     ReportDesk.Reply[] taken = new ReportDesk.Reply[1];
     times.run("reports", () -> taken[0] = desk.take(report, now));
     ReportDesk.Reply reply = taken[0];
@@ -504,65 +494,13 @@
     if (mayDecide()) {
       lost(fleet.expire(now));
       planPlacing();
-      if (isUnanswered(now)) {
-        election.standBack("most machines look for another leader: they get no answers");
-      } else if (isUnheard(now)) {
-        election.standBack(
-            "hardly any machine is heard, the last " + (now - lastHeardMs) + " ms ago");
-      }
+      reach.trouble(now).ifPresent(election::standBack);
     }
   }
 
   /** So many reports came to another controller, which sends the machines here. */
   public void strayed(int reports) {
-    strays.addLast(new Strays(with.scheduler().nowMs(), reports));
-  }
-
-  /**
-   * Reports come, and their senders ask other controllers as well: what is answered here does not
-   * arrive. In the first moments of a term all do, as they look for the leader.
-   */
-  private boolean isUnanswered(long now) {
-    long withinMs = Math.round(with.settings().workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
-    int reports = 0;
-    strays.removeIf(s -> now - s.atMs() > withinMs);
-    for (Strays s : strays) {
-      reports += s.reports();
-    }
-    int up = 0;
-    for (Machine m : fleet.all()) {
-      up += m.up() && now - m.lastReportMs() < 2 * withinMs ? 1 : 0;
-    }
-    return up >= MANY_MACHINES && now - term.startMs() > 2 * withinMs && reports * 5 > up * 3;
-  }
-
-  /**
-   * Nearly all machines are silent at once: it is this controller that they do not reach, and
-   * another one may be reached by them. A lead that is kept by its hold alone would cost every
-   * lease. Nothing is concluded about any machine. Where most were silent from the start, another
-   * leader would hear no more.
-   */
-  private boolean isUnheard(long now) {
-    if (with.settings().nodes() < 2) {
-      return false;
-    }
-    long withinMs = Math.round(with.settings().workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
-    int expected = 0;
-    int heard = 0;
-    for (Machine m : fleet.all()) {
-      boolean reports = m.up() && now - m.lastReportMs() < withinMs;
-      heard += reports ? 1 : 0;
-      expected += m.up() || !m.placements().isEmpty() ? 1 : 0;
-    }
-    mostHeard = Math.max(mostHeard, heard);
-    if (expected < MANY_MACHINES) {
-      return expected >= SOME_MACHINES && now - lastHeardMs >= 2 * withinMs;
-    }
-    if (mostHeard * 2 <= expected) {
-      // From the start; an earlier leader that is cut off from us may still have the machines.
-      return now - lastHeardMs >= 2 * withinMs;
-    }
-    return now - term.startMs() >= withinMs && heard * 5 < expected;
+    reach.strayed(with.scheduler().nowMs(), reports);
   }
 
   /**
@@ -643,6 +581,12 @@
     writer.changed(p.job(), p.task());
   }
 
+  /** Have this leader's writes come to nothing for a good while? */
+  public boolean writesFail() {
+    long sinceMs = writer.failingSinceMs();
+    return mayDecide() && sinceMs >= 0 && with.scheduler().nowMs() - sinceMs > USELESS_MS;
+  }
+
   /** Numbers for people. */
   public String summary() {
     int up = 0;
--- a/src/main/java/org/ploverspindle/loop/EventLoop.java
+++ b/src/main/java/org/ploverspindle/loop/EventLoop.java
@@ -156,7 +156,11 @@
       return timers.poll().work();
     }
     Runnable decision = queues.get(Rank.DECISION).poll();
-    return decision != null ? decision : queues.get(Rank.SUBMISSION).poll();
+    if (decision != null) {
+      return decision;
+    }
+    Runnable submission = queues.get(Rank.SUBMISSION).poll();
+    return submission != null ? submission : queues.get(Rank.POLL).poll();
   }
 
   @Override
--- a/src/main/java/org/ploverspindle/loop/Rank.java
+++ b/src/main/java/org/ploverspindle/loop/Rank.java
@@ -6,6 +6,8 @@
   REPORT,
   /** Decisions, timers and answers from outside systems. */
   DECISION,
-  /** Submissions and polls of users. */
-  SUBMISSION
+  /** What users want done. */
+  SUBMISSION,
+  /** Questions of users: however many there are, submissions keep their time. */
+  POLL
 }
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -53,7 +53,9 @@
   private final Peers peers;
   private final Scope duties = new Scope();
   private Optional<Steward> steward = Optional.empty();
+  private final StateReach reach;
   private int strays;
+  private boolean started;
   private volatile boolean ready;
 
   public Controller(
@@ -70,6 +72,7 @@
     this.cloud = cloud;
     this.peers = peers;
     this.replica = new Replica(loop, store, Keys.PREFIX, 700);
+    this.reach = new StateReach(loop, replica, store, peers, settings.member());
     this.catalogue = new Catalogue(settings.zones());
     this.timing = Timing.of(settings.workers(), settings.quota().cores());
     this.writes =
@@ -130,6 +133,10 @@
       steward.ifPresent(s -> s.strayed(strays.reports()));
     } else if (record instanceof PeerRecord.Leading leading) {
       election.higherToken(leading.token());
+    } else if (record instanceof PeerRecord.Asking asking) {
+      reach.asked(asking.member());
+    } else if (record instanceof PeerRecord.Reached) {
+      reach.reached();
     } else {
       replica.barrier(ok -> {});
     }
@@ -173,7 +180,8 @@
   }
 
   /**
-   * A node leads only when it knows the machine types: without them no record can be understood.
+   * A node leads only when it knows the machine types: without them no record can be understood. It
+   * takes users only while it can answer them, unless nobody can.
    */
   private void look() {
     if (!catalogue.known()) {
@@ -182,11 +190,20 @@
           .flatMap(e -> TypesRecord.decode(e.value()))
           .ifPresent(catalogue::update);
     }
-    boolean now = replica.loaded() && catalogue.known();
-    if (now && !ready) {
-      LOG.info("ready");
+    boolean failing = steward.map(Steward::writesFail).orElse(false);
+    reach.look(failing);
+    if (!started && replica.loaded() && catalogue.known()) {
+      started = true;
       duties.add(election.start());
-      ready = true;
+    }
+    boolean now = started && !reach.isAloneWithout();
+    if (now != ready) {
+      LOG.info(now ? "ready" : "not ready: others reach the state service, and this one does not");
+      ready = now;
+    }
+    if (reach.othersReachIt() && (failing || election.mayDecide() && reach.isAloneWithout())) {
+      // The hold is renewed and nothing else is answered: the lead would be kept for nothing.
+      election.standBack("the state service serves others, and refuses this leader");
     }
   }
 
@@ -248,12 +265,12 @@
     }
     Optional<Term> term = election.term();
     if (steward.isEmpty() || term.isEmpty()) {
-      then.accept(elsewhere());
+      then.accept(elsewhere(report.get()));
       return;
     }
     if (term.get().isBefore(report.get().warrant())) {
       election.deposed("a worker has seen a higher token");
-      then.accept(elsewhere());
+      then.accept(elsewhere(report.get()));
       return;
     }
     if (loop.nowMs() > election.lastKnownMs() + timing.answerMs()) {
@@ -278,9 +295,14 @@
     }
   }
 
-  private Answer elsewhere() {
+  /**
+   * To the leader. Whose machine has had an answer of that leader's and comes here all the same is
+   * a sign that its answers are lost; one that has just come up, or was another leader's, is not.
+   */
+  private Answer elsewhere(Report report) {
     Optional<String> leader = election.leaderName().filter(name -> !name.equals(settings.member()));
-    strays += leader.isPresent() ? 1 : 0;
+    boolean led = election.leaderToken().map(t -> report.warrant() >= t).orElse(false);
+    strays += leader.isPresent() && led ? 1 : 0;
     return leader
         .map(name -> Answer.elsewhere(name))
         .orElseGet(() -> Answer.later(503, "no leader is known", 1));
--- a/src/main/java/org/ploverspindle/peers/PeerCodec.java
+++ b/src/main/java/org/ploverspindle/peers/PeerCodec.java
@@ -21,6 +21,8 @@
   private static final int RESIGNED = 2;
   private static final int NEWS = 3;
   private static final int STRAYS = 4;
+  private static final int ASKING = 5;
+  private static final int REACHED = 6;
 
   private PeerCodec() {}
 
@@ -64,6 +66,12 @@
     if (record instanceof PeerRecord.Strays) {
       return STRAYS;
     }
+    if (record instanceof PeerRecord.Asking) {
+      return ASKING;
+    }
+    if (record instanceof PeerRecord.Reached) {
+      return REACHED;
+    }
     return record instanceof PeerRecord.Resigned ? RESIGNED : NEWS;
   }
 
@@ -95,6 +103,8 @@
         case RESIGNED -> Optional.of(new PeerRecord.Resigned(in.readUTF(), in.readLong()));
         case NEWS -> Optional.of(new PeerRecord.News(in.readUTF()));
         case STRAYS -> Optional.of(new PeerRecord.Strays(in.readUTF(), in.readInt()));
+        case ASKING -> Optional.of(new PeerRecord.Asking(in.readUTF()));
+        case REACHED -> Optional.of(new PeerRecord.Reached(in.readUTF()));
         default -> Optional.empty();
       };
     } catch (IOException e) {
--- a/src/main/java/org/ploverspindle/peers/PeerRecord.java
+++ b/src/main/java/org/ploverspindle/peers/PeerRecord.java
@@ -17,8 +17,14 @@
   record News(String member) implements PeerRecord {}
 
   /**
-   * So many reports came to the member in the last second, although it names the leader: machines
-   * that get no answer from the leader look for another one.
+   * So many reports came to the member in the last second from machines that have had answers of
+   * the leader's: who gets no answer any more looks for another leader.
    */
   record Strays(String member, int reports) implements PeerRecord {}
+
+  /** The member can't reach the state service, and asks who can. */
+  record Asking(String member) implements PeerRecord {}
+
+  /** The member has just read the state service, and had a comparison carried out there. */
+  record Reached(String member) implements PeerRecord {}
 }
--- a/src/main/java/org/ploverspindle/placement/Capacity.java
+++ b/src/main/java/org/ploverspindle/placement/Capacity.java
@@ -1,5 +1,7 @@
 package org.ploverspindle.placement;
 
+import java.util.Collection;
+import org.ploverspindle.jobs.Job;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
 import org.ploverspindle.workers.Placement;
@@ -30,6 +32,25 @@
         }
       }
     }
+    sum();
+  }
+
+  /**
+   * The same within a team's limit: what the limit leaves, and what its own tasks give back.
+   *
+   * @param room what it leaves now, in thousandths of cores
+   */
+  Capacity(Collection<Job> ofTeam, long room, Estimates estimates, long nowMs) {
+    add(room, 0);
+    for (Job job : ofTeam) {
+      for (Placement p : job.live()) {
+        add(job.perTask().cores(), estimates.restS(p, nowMs));
+      }
+    }
+    sum();
+  }
+
+  private void sum() {
     for (int i = 1; i <= STEPS; i++) {
       cores[i] += cores[i - 1];
       coreSeconds[i] += coreSeconds[i - 1];
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -30,8 +30,9 @@
    * A group's kind that may be rented from now, and how many machines at most.
    *
    * @param held machines of the type that there are in the zone
+   * @param late its machines come late or never at present
    */
-  public record Offer(int type, int zone, boolean spot, int room, int held) {}
+  public record Offer(int type, int zone, boolean spot, int room, int held, boolean late) {}
 
   public record Wanted(int type, int zone, boolean spot, int count) {}
 
@@ -353,14 +354,16 @@
       return;
     }
     while (need > 0 && (balance.allowed > 0 || !anywhere || atAnyRate > 0)) {
-      Optional<OpenOffer> offer = cheapest(job, need);
-      if (offer.isEmpty()) {
-        return;
+      Optional<OpenOffer> offer = cheapest(job, need, false);
+      boolean tooDear = anywhere && balance.dearAllowed <= 0;
+      if (offer.isEmpty() || tooDear && isDear(job, offer.get().offer)) {
+        // Where machines come late, some come all the same.
+        offer = cheapest(job, need, true);
       }
-      OpenOffer o = offer.get();
-      if (anywhere && balance.dearAllowed <= 0 && isDear(job, o.offer)) {
+      if (offer.isEmpty() || tooDear && isDear(job, offer.get().offer)) {
         return;
       }
+      OpenOffer o = offer.get();
       o.taken++;
       atAnyRate--;
       Resources size = catalogue.type(o.offer.type()).size();
@@ -389,7 +392,7 @@
             .max(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid));
     double left = missing;
     while (like.isPresent() && left > 0) {
-      Optional<OpenOffer> offer = cheapest(like.get(), Integer.MAX_VALUE);
+      Optional<OpenOffer> offer = cheapest(like.get(), Integer.MAX_VALUE, true);
       if (offer.isEmpty()) {
         return;
       }
@@ -429,7 +432,7 @@
         need -= fill(v, job, need);
       }
     }
-    Optional<OpenOffer> offer = need > 0 ? cheapest(job, need) : Optional.empty();
+    Optional<OpenOffer> offer = need > 0 ? cheapest(job, need, true) : Optional.empty();
     if (offer.isPresent()) {
       OpenOffer o = offer.get();
       int slots = catalogue.type(o.offer.type()).size().times(job.perTask());
@@ -464,12 +467,16 @@
    * Least price for each task that would run there; among equals the zone that holds the fewest of
    * the type. By the source's formula all zones of a type have the same room below the pool's
    * maximum, so that its machines would pile up in the first one, and go with it.
+   *
+   * @param alsoLate also of groups whose machines come late at present
    */
-  private Optional<OpenOffer> cheapest(Job job, int need) {
+  private Optional<OpenOffer> cheapest(Job job, int need, boolean alsoLate) {
     OpenOffer best = null;
     double bestCost = Double.MAX_VALUE;
     for (OpenOffer o : offers) {
-      if (o.room() <= 0 || !allowed(job, o.offer.type(), o.offer.zone(), o.offer.spot())) {
+      if (o.room() <= 0
+          || o.offer.late() && !alsoLate
+          || !allowed(job, o.offer.type(), o.offer.zone(), o.offer.spot())) {
         continue;
       }
       int slots = catalogue.type(o.offer.type()).size().times(job.perTask());
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.ploverspindle.cloud.Catalogue;
@@ -93,6 +96,10 @@
   private final Listener listener;
   private final List<Placement> servedForPatience = new ArrayList<>();
   private Optional<Capacity> capacity = Optional.empty();
+
+  /** Of teams with a limit: who has more work than it may use serves first what can be in time. */
+  private final Map<Integer, Capacity> teamCapacity = new HashMap<>();
+
   private long capacityMs;
 
   /**
@@ -134,7 +141,8 @@
     waiting.sort(Ranked.ORDER);
     List<Job> byStart = new ArrayList<>(waiting.size());
     waiting.forEach(r -> byStart.add(r.job()));
-    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), estimates, nowMs).order(byStart);
+    return new Triage(j -> openSlackS(j, wallMs), capacity(nowMs), teamCapacity, estimates, nowMs)
+        .order(byStart);
   }
 
   /** Looks at every placement, and placing runs many times a second: kept for a moment. */
@@ -142,6 +150,16 @@
     if (capacity.isEmpty() || nowMs - capacityMs > CAPACITY_KEPT_MS) {
       capacity = Optional.of(new Capacity(fleet, estimates, nowMs, 60_000));
       capacityMs = nowMs;
+      teamCapacity.clear();
+      Map<Integer, List<Job>> byTeam = new HashMap<>();
+      jobs.all().forEach(j -> byTeam.computeIfAbsent(j.team(), t -> new ArrayList<>()).add(j));
+      for (Map.Entry<Integer, List<Job>> e : byTeam.entrySet()) {
+        OptionalLong room = teams.coreRoom(e.getKey());
+        if (room.isPresent()) {
+          teamCapacity.put(
+              e.getKey(), new Capacity(e.getValue(), room.getAsLong(), estimates, nowMs));
+        }
+      }
     }
     return capacity.get();
   }
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Function;
 import org.ploverspindle.jobs.Job;
@@ -23,13 +26,16 @@
   private final Function<Job, OptionalDouble> openSlackS;
   private final Estimates estimates;
   private final Capacity capacity;
+  private final Map<Integer, Capacity> ofTeams;
   private final long nowMs;
 
   Triage(
       Function<Job, OptionalDouble> openSlackS,
       Capacity capacity,
+      Map<Integer, Capacity> ofTeams,
       Estimates estimates,
       long nowMs) {
+    this.ofTeams = ofTeams;
     this.nowMs = nowMs;
     this.openSlackS = openSlackS;
     this.estimates = estimates;
@@ -45,6 +51,7 @@
   List<Job> order(List<Job> byStart) {
     List<Job> result = new ArrayList<>(byStart.size());
     double before = 0;
+    Map<Integer, Double> teamBefore = new HashMap<>();
     for (int from = 0; from < byStart.size(); ) {
       int to = from;
       while (to < byStart.size()
@@ -54,6 +61,7 @@
       List<Job> inTime = new ArrayList<>();
       List<Job> late = new ArrayList<>();
       double sum = before;
+      Map<Integer, Double> teamSums = new HashMap<>(teamBefore);
       for (Job job : byStart.subList(from, to)) {
         OptionalDouble slackS = openSlackS.apply(job);
         if (slackS.isEmpty()) {
@@ -63,16 +71,25 @@
         }
         inTime.add(job);
         sum += work(job);
-        double withinSlack = capacity.within(Math.max(0, slackS.getAsDouble()) + SPARE_S);
+        teamSums.merge(job.team(), work(job), Double::sum);
+        double withinS = Math.max(0, slackS.getAsDouble()) + SPARE_S;
+        double withinSlack = capacity.within(withinS);
+        Optional<Capacity> ofTeam = Optional.ofNullable(ofTeams.get(job.team()));
+        double teamSlack = ofTeam.map(c -> c.within(withinS)).orElse(Double.MAX_VALUE);
         // Its last tasks start about when the work before them is through. Doubt is in its favour.
-        while (!inTime.isEmpty() && (sum - work(job)) * CERTAINTY > withinSlack) {
-          Job back = largest(inTime);
+        while (true) {
+          boolean teamFull = (teamSums.get(job.team()) - work(job)) * CERTAINTY > teamSlack;
+          if (!teamFull && (sum - work(job)) * CERTAINTY <= withinSlack) {
+            break;
+          }
+          Job back = largest(inTime, teamFull ? job.team() : -1);
           if (work(back) < work(job) * 1.5) {
             back = job;
           }
           inTime.remove(back);
           late.add(back);
           sum -= work(back);
+          teamSums.merge(back.team(), -work(back), Double::sum);
           if (back == job) {
             break;
           }
@@ -83,13 +100,18 @@
       result.addAll(late);
       for (Job job : byStart.subList(from, to)) {
         before += work(job);
+        teamBefore.merge(job.team(), work(job), Double::sum);
       }
       from = to;
     }
     return result;
   }
 
-  private Job largest(List<Job> jobs) {
-    return jobs.stream().max(Comparator.comparingDouble(this::work)).orElseThrow();
+  /** Of the team, or of all. */
+  private Job largest(List<Job> jobs, int team) {
+    return jobs.stream()
+        .filter(j -> team < 0 || j.team() == team)
+        .max(Comparator.comparingDouble(this::work))
+        .orElseThrow();
   }
 }
--- a/src/main/java/org/ploverspindle/workers/Machine.java
+++ b/src/main/java/org/ploverspindle/workers/Machine.java
@@ -28,6 +28,9 @@
   private long tenure;
   private long tally;
   private long lastReportMs = -1;
+  private long upSinceMs = -1;
+  private boolean cameUp;
+  private long rentedSinceMs = -1;
   private boolean confirmed;
   private long emptySinceMs;
   private long recalledAtMs = -1;
@@ -167,6 +170,33 @@
     return lastReportMs;
   }
 
+  /** True once after its first report in this term. */
+  public boolean takeCameUp() {
+    boolean before = cameUp;
+    cameUp = false;
+    return before;
+  }
+
+  /** It was rented no later than this, by our own rental or by its age in the list. */
+  public void rentedAt(long atMs) {
+    rentedSinceMs = rentedSinceMs < 0 ? atMs : Math.min(rentedSinceMs, atMs);
+  }
+
+  /** When it was rented, or -1 if that is not known. */
+  public long rentedSinceMs() {
+    return rentedSinceMs;
+  }
+
+  /** Since when it has been on its way, as far as is known. */
+  public long bootingSinceMs() {
+    return rentedSinceMs < 0 ? knownSinceMs : rentedSinceMs;
+  }
+
+  /** When it reported first in this term, or -1. */
+  public long upSinceMs() {
+    return upSinceMs;
+  }
+
   /** The worker has accepted this term's token: from now on it drops older leaders' answers. */
   public boolean confirmed() {
     return confirmed;
@@ -174,6 +204,8 @@
 
   void heard(Report report, long nowMs, boolean underOurToken) {
     if (lastReportMs < 0) {
+      upSinceMs = nowMs;
+      cameUp = true;
       // It has just come up: it was not idle while it booted.
       emptySinceMs = nowMs;
     }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/cloud/BootsTest.java
@@ -0,0 +1,130 @@
+package org.ploverspindle.cloud;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.leadership.Timing;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+
+/** Machines of a type that takes 30 s by the cloud's word, and what is thought of them. */
+class BootsTest {
+  private static final Term TERM = new Term(7, 1, 0);
+  private static final Settings.WorkerLimits WORKERS = new Settings.WorkerLimits(3, 14, 39);
+
+  private final Catalogue catalogue = new Catalogue(List.of("a"));
+  private final Fleet fleet;
+  private final ReportDesk desk;
+  private final Boots boots;
+  private final Rentals.Group group = new Rentals.Group(0, 0, true);
+
+  BootsTest() {
+    catalogue.update(
+        List.of(
+            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
+    TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
+    fleet = new Fleet(catalogue, teams, Timing.of(WORKERS, 1), TERM);
+    desk =
+        new ReportDesk(
+            fleet,
+            TERM,
+            () -> true,
+            u -> Optional.empty(),
+            u -> Optional.empty(),
+            (j, t) -> false,
+            new NoNews());
+    boots = new Boots(catalogue);
+  }
+
+  private static final class NoNews implements ReportDesk.Listener {
+    @Override
+    public void completed(Placement p, long nowMs) {}
+
+    @Override
+    public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
+
+    @Override
+    public void completedUnplaced(Job job, int task) {}
+
+    @Override
+    public void moved(Placement p) {}
+  }
+
+  private List<Machine> rented(int from, int count, long atMs) {
+    List<Machine> machines = new ArrayList<>();
+    for (int i = from; i < from + count; i++) {
+      Machine m = fleet.adopt("i-" + i, "t", "a", true, atMs).orElseThrow();
+      m.rentedAt(atMs);
+      machines.add(m);
+    }
+    return machines;
+  }
+
+  private void comesUp(Machine m, long nowMs) {
+    desk.take(
+        new Report(m.host(), "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()),
+        nowMs);
+  }
+
+  @Test
+  void machinesThatComeAsTheyShouldSpeakForTheirGroup() {
+    rented(0, 10, 0).forEach(m -> comesUp(m, 35_000));
+    List<Machine> odd = rented(10, 2, 0);
+    boots.look(fleet.all(), 60_000);
+    assertFalse(boots.areBad(group), "two of twelve are the odd ones");
+    assertTrue(boots.isOverdue(odd.get(0), 60_000));
+    assertFalse(boots.isStuck(odd.get(0), 100_000));
+    assertTrue(boots.isStuck(odd.get(0), 106_000));
+  }
+
+  @Test
+  void aGroupOfWhichNoneComesIsBadAndItsMachinesAreNotWaitedFor() {
+    List<Machine> none = rented(0, 10, 0);
+    boots.look(fleet.all(), 50_000);
+    assertFalse(boots.areBad(group));
+    boots.look(fleet.all(), 57_000);
+    assertTrue(boots.areBad(group));
+    assertTrue(none.stream().allMatch(m -> boots.isOverdue(m, 57_000)));
+    rented(10, 12, 60_000).forEach(m -> comesUp(m, 90_000));
+    boots.look(fleet.all(), 90_000);
+    assertFalse(boots.areBad(group), "boots are well again");
+  }
+
+  @Test
+  void whereMachinesComeLateTheOthersAreWaitedForAsLong() {
+    List<Machine> late = rented(0, 10, 0);
+    boots.look(fleet.all(), 80_000);
+    assertTrue(boots.isOverdue(late.get(9), 80_000));
+    late.subList(0, 3).forEach(m -> comesUp(m, 90_000));
+    boots.look(fleet.all(), 90_000);
+    assertFalse(boots.isOverdue(late.get(9), 110_000), "three times as long is usual now");
+    assertFalse(boots.isStuck(late.get(9), 125_000));
+    assertTrue(boots.isStuck(late.get(9), 135_000));
+    boots.look(fleet.all(), 300_000);
+    assertTrue(boots.isOverdue(late.get(9), 300_000), "and is forgotten in time");
+  }
+
+  @Test
+  void whatAnEarlierLeaderRentedAndWasUpSaysNothingOfBoots() {
+    Machine m = fleet.adopt("i-1", "t", "a", true, 0).orElseThrow();
+    comesUp(m, 4_000);
+    List<Machine> mine = rented(10, 3, 0);
+    boots.look(fleet.all(), 57_000);
+    assertEquals(3, mine.stream().filter(x -> boots.isOverdue(x, 57_000)).count());
+    assertTrue(boots.areBad(group));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/leadership/ReachTest.java
@@ -0,0 +1,160 @@
+package org.ploverspindle.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.settings.Address;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Placement;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+
+/** A leader of 100 machines that report every three seconds, and what it makes of their silence. */
+class ReachTest {
+  private static final Term TERM = new Term(7, 1, 0);
+  private static final int MACHINES = 100;
+
+  private final Settings settings = settings();
+  private final Fleet fleet;
+  private final ReportDesk desk;
+  private final Reach reach;
+  private long tally;
+
+  ReachTest() {
+    Catalogue catalogue = new Catalogue(List.of("a"));
+    catalogue.update(
+        List.of(
+            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
+    fleet =
+        new Fleet(
+            catalogue, new TeamUsage(settings.teams()), Timing.of(settings.workers(), 1), TERM);
+    desk =
+        new ReportDesk(
+            fleet,
+            TERM,
+            () -> true,
+            u -> Optional.empty(),
+            u -> Optional.empty(),
+            (j, t) -> false,
+            new NoNews());
+    reach = new Reach(fleet, TERM, settings);
+  }
+
+  private static Settings settings() {
+    Address nowhere = new Address("127.0.0.1", 1);
+    return new Settings(
+        "n0",
+        "a",
+        nowhere,
+        nowhere,
+        List.of(new Settings.Member("n1", "a", nowhere), new Settings.Member("n2", "a", nowhere)),
+        nowhere,
+        nowhere,
+        List.of("a"),
+        500,
+        List.of(new Settings.Team("red", 0, 0, 0, 0)),
+        List.of(),
+        new Settings.WorkerLimits(3, 14, 39),
+        new Settings.StateLimits(60, 20, 8, 12),
+        new Settings.CloudLimits(6, 8),
+        new Settings.Quota(1, 200, 500));
+  }
+
+  private static final class NoNews implements ReportDesk.Listener {
+    @Override
+    public void completed(Placement p, long nowMs) {}
+
+    @Override
+    public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
+
+    @Override
+    public void completedUnplaced(Job job, int task) {}
+
+    @Override
+    public void moved(Placement p) {}
+  }
+
+  /** All report, each at its own moment of the three seconds before. */
+  private void reports(int machine, long warrant, long nowMs) {
+    reach.heard(nowMs);
+    desk.take(
+        new Report(
+            "i-" + machine,
+            "",
+            "t",
+            "a",
+            true,
+            1,
+            ++tally,
+            warrant,
+            OptionalDouble.empty(),
+            List.of()),
+        nowMs);
+  }
+
+  /** Looks every 400 ms while the machines report; true if there ever was trouble. */
+  private boolean troubled(long fromMs, long toMs, boolean heard, long warrant) {
+    boolean trouble = false;
+    for (long t = fromMs; t < toMs; t += 30) {
+      if (heard) {
+        reports((int) (t / 30 % MACHINES), warrant, t);
+      }
+      if (t % 390 == 0) {
+        trouble |= reach.trouble(t).isPresent();
+      }
+    }
+    return trouble;
+  }
+
+  @Test
+  void whoseMachinesReportAndHearHasNoTrouble() {
+    assertFalse(troubled(0, 60_000, true, 7));
+  }
+
+  @Test
+  void whoseMachinesAllFallSilentIsInTroubleBeforeAnyLeaseEnds() {
+    troubled(0, 30_000, true, 7);
+    assertFalse(troubled(30_000, 33_000, false, 7));
+    assertTrue(troubled(33_000, 36_000, false, 7));
+  }
+
+  @Test
+  void machinesThatAskOthersMeanwhileMakeItClearSooner() {
+    troubled(0, 30_000, true, 7);
+    reach.strayed(31_500, 40);
+    assertTrue(troubled(30_000, 32_500, false, 7));
+  }
+
+  @Test
+  void strayReportsAloneAreNoTroubleWhileTheirSendersAreHeardAndFew() {
+    troubled(0, 30_000, true, 7);
+    reach.strayed(30_000, 40);
+    assertFalse(troubled(30_000, 36_000, true, 7));
+    reach.strayed(36_000, 70);
+    assertTrue(troubled(36_000, 37_000, true, 7), "most of them have had answers and ask others");
+  }
+
+  @Test
+  void whoStoodStillListensAnewBeforeItCallsAnybodySilent() {
+    troubled(0, 30_000, true, 7);
+    reach.strayed(33_000, 300);
+    // It stood still; what came meanwhile is not read yet.
+    assertFalse(troubled(35_100, 38_000, false, 7));
+    assertFalse(troubled(38_010, 60_000, true, 7));
+  }
+
+  @Test
+  void whoseAnswersNeverArriveIsInTrouble() {
+    assertTrue(troubled(0, 30_000, true, 3), "they report under an older token for ever");
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/SimState.java
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.HttpStateStore;
+import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.Changed;
 import org.ploverspindle.state.StateStore.Condition;
@@ -189,4 +190,10 @@
     }
     return new News.Changes(ledger, changes);
   }
+
+  /** The last token of the last term, or 0. */
+  long highestToken() {
+    Kept kept = keys.get(Keys.TOKEN);
+    return kept == null ? 0 : kept.value().path("n").asLong();
+  }
 }
