--- /dev/null
+++ b/src/main/java/org/ploverspindle/cloud/Backoffs.java
@@ -0,0 +1,69 @@
+package org.ploverspindle.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.state.StateStore.Entry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** GEP-24's backoff, by group and kind: who is left alone after a failed rental, and until when. */
+final class Backoffs {
+  private static final Logger LOG = LoggerFactory.getLogger(Backoffs.class);
+
+  private final Scheduler scheduler;
+  private final Catalogue catalogue;
+  private final Policy policy;
+  private final RandomGenerator random;
+  private final Map<Rentals.Group, Long> untilMs = new HashMap<>();
+
+  Backoffs(Scheduler scheduler, Catalogue catalogue, Policy policy, RandomGenerator random) {
+    this.scheduler = scheduler;
+    this.catalogue = catalogue;
+    this.policy = policy;
+    this.random = random;
+  }
+
+  void backOff(Rentals.Group g) {
+    // Spread out: marks that were set together would otherwise end together, and all be tried at
+    // once.
+    long ms = Math.round(policy.backoffS() * 1000 * (0.85 + 0.3 * random.nextDouble()));
+    untilMs.put(g, scheduler.nowMs() + ms);
+  }
+
+  boolean backedOff(Rentals.Group g) {
+    return untilMs.getOrDefault(g, Long.MIN_VALUE) > scheduler.nowMs();
+  }
+
+  /** The marks of a type that still stand, for the next leader. */
+  void record(int type, ArrayNode marks) {
+    untilMs.forEach(
+        (g, until) -> {
+          long leftMs = until - scheduler.nowMs();
+          if (g.type() == type && leftMs > 0) {
+            marks.add(catalogue.zoneName(g.zone()) + "," + g.spot() + "," + leftMs);
+          }
+        });
+  }
+
+  /** Those of an earlier leader go on for what was left when they were recorded. */
+  void read(Entry e, Optional<Integer> type) {
+    for (JsonNode mark : e.value().path("backoff")) {
+      String[] f = mark.asText().split(",", -1);
+      Optional<Integer> zone = f.length == 3 ? catalogue.zoneIndex(f[0]) : Optional.empty();
+      if (type.isEmpty() || zone.isEmpty() || !f[2].matches("\\d{1,9}")) {
+        LOG.warn("a backoff mark in {} can't be read", e.key());
+        continue;
+      }
+      long leftMs = Math.min(Long.parseLong(f[2]), Math.round(policy.backoffS() * 1000));
+      untilMs.put(
+          new Rentals.Group(type.get(), zone.get(), Boolean.parseBoolean(f[1])),
+          scheduler.nowMs() + leftMs);
+    }
+  }
+}
--- a/src/main/java/org/ploverspindle/cloud/CloudApi.java
+++ b/src/main/java/org/ploverspindle/cloud/CloudApi.java
@@ -29,6 +29,9 @@
 
     record NoCapacity() implements RentResult {}
 
+    /** The cloud does not take such a request, now or later. */
+    record Malformed() implements RentResult {}
+
     /** Certainly not executed, and says nothing on capacity. */
     record Refused() implements RentResult {}
 
--- a/src/main/java/org/ploverspindle/cloud/HttpCloud.java
+++ b/src/main/java/org/ploverspindle/cloud/HttpCloud.java
@@ -5,13 +5,17 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.net.Caller;
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.net.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The cloud's own protocol. Broken or unexpected answers count as none. */
 public final class HttpCloud implements CloudApi {
@@ -19,8 +23,13 @@
   private static final long TIMEOUT_MS = 5_000;
   private static final int PAGE = 500;
 
+  private static final Logger LOG = LoggerFactory.getLogger(HttpCloud.class);
+
   private final Caller caller;
 
+  /** Answers that were named in the log, once each. */
+  private final Set<Integer> told = new HashSet<>();
+
   public HttpCloud(Caller caller) {
     this.caller = caller;
   }
@@ -83,7 +92,7 @@
     caller.call("POST", "/rentals", Cbor.write(body), TIMEOUT_MS, r -> then.accept(rented(r)));
   }
 
-  private static RentResult rented(Reply reply) {
+  private RentResult rented(Reply reply) {
     if (reply instanceof Reply.NotSent) {
       return new RentResult.Refused();
     }
@@ -101,8 +110,16 @@
       return new RentResult.NoCapacity();
     }
     return switch (answer.status()) {
-      case 400, 429, 503 -> new RentResult.Refused();
-      default -> new RentResult.Unknown();
+      case 400 -> new RentResult.Malformed();
+      case 429, 503 -> new RentResult.Refused();
+      default -> {
+        if (told.add(answer.status())) {
+          LOG.warn(
+              "a rental was answered {}, which no page names: it is asked for again",
+              answer.status());
+        }
+        yield new RentResult.Unknown();
+      }
     };
   }
 
--- /dev/null
+++ b/src/main/java/org/ploverspindle/cloud/Pools.java
@@ -0,0 +1,47 @@
+package org.ploverspindle.cloud;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.sizing.AdaptiveSizing;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+
+/** What each type's groups hold now, rentals in flight among it, and GEP-24's bounds for that. */
+final class Pools {
+  private final Catalogue catalogue;
+  private final Fleet fleet;
+  private final Claims claims;
+  private final Backoffs backoffs;
+  private final Policy policy;
+
+  Pools(Catalogue catalogue, Fleet fleet, Claims claims, Backoffs backoffs, Policy policy) {
+    this.catalogue = catalogue;
+    this.fleet = fleet;
+    this.claims = claims;
+    this.backoffs = backoffs;
+    this.policy = policy;
+  }
+
+  List<AdaptiveSizing.Bounds> bounds(int type, List<AdaptiveSizing.Group> groups) {
+    Policy.PoolBounds pool = policy.pool(catalogue.type(type).name());
+    return AdaptiveSizing.bounds(pool.min(), pool.max(), groups);
+  }
+
+  List<AdaptiveSizing.Group> groups(int type) {
+    int[] held = new int[catalogue.zoneCount()];
+    for (Machine m : fleet.all()) {
+      if (m.type() == type && !m.releasing()) {
+        held[m.zone()]++;
+      }
+    }
+    List<AdaptiveSizing.Group> groups = new ArrayList<>();
+    for (int z = 0; z < held.length; z++) {
+      boolean bad =
+          backoffs.backedOff(new Rentals.Group(type, z, true))
+              && backoffs.backedOff(new Rentals.Group(type, z, false));
+      groups.add(new AdaptiveSizing.Group(held[z] + claims.inFlight(type, z), bad));
+    }
+    return groups;
+  }
+}
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -799,6 +799,11 @@
       Steward.this.lost(placements);
     }
 
+    @Override
+    public long listeningSinceMs() {
+      return reach.listeningSinceMs();
+    }
+
     @Override
     public boolean mayDecide() {
       return Steward.this.mayDecide();
--- a/src/main/java/org/ploverspindle/state/HttpStateStore.java
+++ b/src/main/java/org/ploverspindle/state/HttpStateStore.java
@@ -6,20 +6,29 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.ploverspindle.net.Caller;
 import org.ploverspindle.net.Cbor;
 import org.ploverspindle.net.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The state service's own protocol. Broken or unexpected answers count as none. */
 public final class HttpStateStore implements StateStore {
   private static final byte[] EMPTY = {};
   private static final long TIMEOUT_MS = 2_500;
 
+  private static final Logger LOG = LoggerFactory.getLogger(HttpStateStore.class);
+
   private final Caller caller;
 
+  /** Answers that were named in the log, once each. */
+  private final Set<Integer> told = new HashSet<>();
+
   public HttpStateStore(Caller caller) {
     this.caller = caller;
   }
@@ -49,7 +58,7 @@
     return body;
   }
 
-  private static TxnResult txnResult(Reply reply) {
+  private TxnResult txnResult(Reply reply) {
     if (reply instanceof Reply.NotSent) {
       return new TxnResult.Refused(0);
     }
@@ -73,6 +82,10 @@
       case 429, 503:
         return new TxnResult.Refused(answer.status());
       default:
+        if (told.add(answer.status())) {
+          LOG.warn(
+              "a write was answered {}, which no page names: it is read back", answer.status());
+        }
         return new TxnResult.Unknown();
     }
   }
--- a/src/test/java/org/ploverspindle/cloud/BootsTest.java
+++ b/src/test/java/org/ploverspindle/cloud/BootsTest.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
-import org.ploverspindle.jobs.Job;
+import org.ploverspindle.NoNews;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
 import org.ploverspindle.leadership.Term;
@@ -17,7 +17,6 @@
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
-import org.ploverspindle.workers.Placement;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportDesk;
 
@@ -50,20 +49,6 @@
     boots = new Boots(catalogue);
   }
 
-  private static final class NoNews implements ReportDesk.Listener {
-    @Override
-    public void completed(Placement p, long nowMs) {}
-
-    @Override
-    public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
-
-    @Override
-    public void completedUnplaced(Job job, int task) {}
-
-    @Override
-    public void moved(Placement p) {}
-  }
-
   private List<Machine> rented(int from, int count, long atMs) {
     List<Machine> machines = new ArrayList<>();
     for (int i = from; i < from + count; i++) {
--- a/src/test/java/org/ploverspindle/leadership/ReachTest.java
+++ b/src/test/java/org/ploverspindle/leadership/ReachTest.java
@@ -7,15 +7,14 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
+import org.ploverspindle.NoNews;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
-import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
 import org.ploverspindle.settings.Address;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
-import org.ploverspindle.workers.Placement;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportDesk;
 
@@ -70,20 +69,6 @@
         new Settings.Quota(1, 200, 500));
   }
 
-  private static final class NoNews implements ReportDesk.Listener {
-    @Override
-    public void completed(Placement p, long nowMs) {}
-
-    @Override
-    public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
-
-    @Override
-    public void completedUnplaced(Job job, int task) {}
-
-    @Override
-    public void moved(Placement p) {}
-  }
-
   /** All report, each at its own moment of the three seconds before. */
   private void reports(int machine, long warrant, long nowMs) {
     reach.heard(nowMs);
--- /dev/null
+++ b/src/test/java/org/ploverspindle/loop/EventLoopTest.java
@@ -0,0 +1,37 @@
+package org.ploverspindle.loop;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class EventLoopTest {
+  /** What waits when there is more than can be done: told by the order in which it is done. */
+  @Test
+  void reportsGoFirstThenDecisionsThenSubmissionsAndQuestionsLast() throws InterruptedException {
+    List<Rank> done = new ArrayList<>();
+    CountDownLatch all = new CountDownLatch(400);
+    Random random = new Random(1);
+    try (EventLoop loop = new EventLoop()) {
+      for (int i = 0; i < 400; i++) {
+        Rank rank = Rank.values()[random.nextInt(Rank.values().length)];
+        loop.execute(
+            rank,
+            () -> {
+              done.add(rank);
+              all.countDown();
+            });
+      }
+      loop.start();
+      assertTrue(all.await(30, TimeUnit.SECONDS));
+    }
+    List<Rank> sorted = new ArrayList<>(done);
+    sorted.sort(null);
+    assertEquals(sorted, done);
+  }
+}
--- a/src/test/java/org/ploverspindle/placement/TriageTest.java
+++ b/src/test/java/org/ploverspindle/placement/TriageTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.ploverspindle.NoNews;
 import org.ploverspindle.Specs;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
@@ -39,20 +40,7 @@
   private static final TeamUsage TEAMS =
       new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
 
-  static final ReportDesk.Listener NOTHING =
-      new ReportDesk.Listener() {
-        @Override
-        public void completed(Placement p, long nowMs) {}
-
-        @Override
-        public void ended(Placement p, Report.Cause cause, boolean saved, long nowMs) {}
-
-        @Override
-        public void completedUnplaced(Job job, int task) {}
-
-        @Override
-        public void moved(Placement p) {}
-      };
+  static final ReportDesk.Listener NOTHING = new NoNews();
 
   /** One machine of 16 cores, empty and under our token. */
   private static Fleet fleet() {
--- a/src/test/java/org/ploverspindle/sim/CutControllerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CutControllerTest.java
@@ -92,6 +92,22 @@
     assertServed(w);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void controllersThatAreDownForAMinuteInTurnAlsoInMidElection(long seed) {
+    World w = busy(seed);
+    w.clock.at(
+        30_000,
+        () -> {
+          int first = leaderOf(w);
+          w.crash(first, 70_000);
+          w.clock.at(2_800, () -> w.crash((first + 1) % NODES, 300));
+        });
+    w.clock.at(105_000, () -> w.crash(leaderOf(w), 20_000));
+    w.clock.at(50_000, () -> assertTrue(w.leader() >= 0, "two are enough"));
+    assertServed(w);
+  }
+
   @Test
   void inAnOutageOfTheStateServiceAllStayReady() {
     World w = busy(5);
--- a/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -289,6 +289,19 @@
     assertEquals(1, w.checker.jobsDone());
   }
 
+  @Test
+  void aTypeThatTheCloudHasGivenUpDoesNotStopOtherRentals() {
+    World w = new World(9, site(3, 60, List.of("a")));
+    w.cloud.giveUp("large");
+    for (int i = 0; i < 20; i++) {
+      w.clock.at(
+          3_000 + i * 3_000, () -> w.user(EndOfDayTest.job(w, "a", Urgency.NORMAL, 20, 2, 10, 60)));
+    }
+    w.clock.runUntil(200_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(20, w.checker.jobsDone());
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void whereMachinesOfATypeNeverComeOthersAreRentedAndThoseReturned(long seed) {
--- a/src/test/java/org/ploverspindle/sim/SimCloud.java
+++ b/src/test/java/org/ploverspindle/sim/SimCloud.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Function;
 import org.ploverspindle.cloud.CloudApi.Host;
 import org.ploverspindle.cloud.CloudApi.HostPage;
@@ -54,6 +56,7 @@
   private int counter;
   private boolean out;
   private final Map<String, Double> slowBoots = new HashMap<>();
+  private final Set<String> unknown = new HashSet<>();
   private int refused;
 
   SimCloud(
@@ -95,6 +98,11 @@
     slowBoots.put(type, factor);
   }
 
+  /** From now on requests for the type are malformed: the cloud has given it up. */
+  void giveUp(String type) {
+    unknown.add(type);
+  }
+
   /** Machines ever rented. */
   int rented() {
     return counter;
@@ -124,6 +132,9 @@
 
   RentResult rent(String claim, String type, String zone, boolean spot, int count) {
     limit(count, MOST_RENTED);
+    if (unknown.contains(type)) {
+      return new RentResult.Malformed();
+    }
     RentResult.Rented before = claims.get(claim);
     if (before != null) {
       return before;
