The gap as a test at all deployments' timings; cancellations share transactions

The argument of docs/safety.md was gone through: the grace counts from the older of the last answered read and renewal, by when they were sent, so reads, renewals or writes refused alone make it end sooner, never later.

One-task jobs come four a second and a quarter is cancelled: each cancellation was a transaction of its own. Those that come while one is under way now share the next, within the changes a transaction may hold.

--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -41,6 +41,9 @@
   private static final long CREATE_LIMIT_MS = 2_500;
   private static final int MOST_WAITING = 200;
 
+  /** One that shares its transaction with jobs that end meanwhile is tried again for so long. */
+  private static final long CANCEL_LIMIT_MS = 2_000;
+
   /** The copy is read more often than that: who waits for the next read would wait in vain. */
   private static final long STALE_MS = 4_000;
 
@@ -70,6 +73,7 @@
   private final TokenBucket writes;
   private final SpecIndex specs;
   private final ProgressCounts counts;
+  private final Cancellations cancellations;
   private final String nonce;
   private final Runnable changedForLeader;
   private final int valueBytes;
@@ -104,6 +108,8 @@
     this.valueBytes = Math.min(settings.stateLimits().valueBytes(), MAX_VALUE_BYTES);
     this.scheduler = scheduler;
     this.store = store;
+    this.cancellations =
+        new Cancellations(scheduler, store, writes, settings.stateLimits().txnOps());
     this.replica = replica;
     this.catalogue = catalogue;
     this.settings = settings;
@@ -422,7 +428,8 @@
     } else if (!replica.loaded()) {
       then.accept(notNow());
     } else {
-      barrier(ok -> withdrawAt(uid, ok, 0, then));
+      long cameMs = scheduler.nowMs();
+      barrier(ok -> withdrawAt(uid, ok, 0, cameMs, then));
     }
   }
 
@@ -431,29 +438,26 @@
     return Answer.of(200, Cbor.map().put("uid", uid).put("status", status));
   }
 
-  private void withdrawAt(String uid, boolean fresh, int tries, Consumer<Answer> then) {
+  private void withdrawAt(
+      String uid, boolean fresh, int tries, long cameMs, Consumer<Answer> then) {
     if (over(uid)) {
       then.accept(overAnswer(uid));
-    } else if (!fresh || tries >= 3) {
+    } else if (!fresh || tries > 0 && scheduler.nowMs() - cameMs > CANCEL_LIMIT_MS) {
       then.accept(notNow());
     } else if (specs.get(uid).isEmpty()) {
       then.accept(Answer.error(404, "no such job"));
     } else {
-      writes.take(1);
-      // Done and cancelled exclude each other: each is written only where the other is absent.
-      store.txn(
-          new StateStore.Txn(
-              List.of(new Condition(Keys.done(uid), 0), new Condition(Keys.cancel(uid), 0)),
-              List.of(new Change.Put(Keys.cancel(uid), Cbor.map().put("at", scheduler.wallMs())))),
-          result -> {
-            if (result instanceof TxnResult.Committed) {
-              then.accept(Answer.of(200, Cbor.map().put("uid", uid).put("status", "aborted")));
-              changedForLeader.run();
-              replica.barrier(ok -> {});
-            } else if (result instanceof TxnResult.Refused) {
-              then.accept(notNow());
-            } else {
-              barrier(ok -> withdrawAt(uid, ok, tries + 1, then));
+      cancellations.write(
+          uid,
+          outcome -> {
+            switch (outcome) {
+              case STANDS -> {
+                then.accept(Answer.of(200, Cbor.map().put("uid", uid).put("status", "aborted")));
+                changedForLeader.run();
+                replica.barrier(ok -> {});
+              }
+              case REFUSED -> then.accept(notNow());
+              case UNCERTAIN -> barrier(ok -> withdrawAt(uid, ok, tries + 1, cameMs, then));
             }
           });
     }
--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -55,6 +55,7 @@
   private final Map<String, JobSeen> jobs = new HashMap<>();
   private final List<Broken> broken = new ArrayList<>();
   private int starts;
+  private int cancelledWhileOn;
   private long troublesOverMs = -1;
 
   /** A job about which nothing is answered for this long once all is well counts as forgotten. */
@@ -158,6 +159,11 @@
     return job.done.size() == job.spec.tasks();
   }
 
+  /** How many cancellations were confirmed to users while tasks of theirs were on machines. */
+  int cancelledWhileOn() {
+    return cancelledWhileOn;
+  }
+
   /** When the job's first task began, or -1. */
   long begunMs(String uid) {
     return jobs.get(uid).begunMs;
@@ -285,6 +291,7 @@
     }
     if (state.equals("aborted") && job.cancelToldMs < 0) {
       job.cancelToldMs = clock.nowMs();
+      cancelledWhileOn += job.on.isEmpty() ? 0 : 1;
     }
   }
 }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/GapTest.java
@@ -0,0 +1,120 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+
+/**
+ * The state service refuses the leader alone, another controller confirms cancellations, and then
+ * the state service is out for all, longer than a cancellation may take, while the workers go on
+ * reporting to that leader: what it can't know of must end with their leases. Twice, the second
+ * time soon after the first.
+ */
+class GapTest {
+  private static final int NODES = 3;
+
+  /** What the state service refuses to the leader alone before it is out for all. */
+  private static final List<Set<World.Refusal>> REFUSED =
+      List.of(
+          Set.of(World.Refusal.values()),
+          Set.of(World.Refusal.READS),
+          Set.of(World.Refusal.HOLDS),
+          Set.of(World.Refusal.WRITES));
+
+  /** Report, lease and cancellation times of the operators' deployments. */
+  private static final Map<String, Settings.WorkerLimits> TIMINGS =
+      Map.of(
+          "Athens", new Settings.WorkerLimits(3, 14, 39),
+          "Kosice", new Settings.WorkerLimits(1.5, 10, 40),
+          "large Athens", new Settings.WorkerLimits(5, 26.5, 51.5),
+          "large Kosice", new Settings.WorkerLimits(5, 26.5, 56.5));
+
+  static Stream<Arguments> gaps() {
+    List<Arguments> all = new ArrayList<>();
+    for (String deployment : TIMINGS.keySet().stream().sorted().toList()) {
+      for (Set<World.Refusal> refused : REFUSED) {
+        for (long seed = 1; seed <= 3; seed++) {
+          all.add(Arguments.of(deployment, refused, seed));
+        }
+      }
+    }
+    return all.stream();
+  }
+
+  @ParameterizedTest
+  @MethodSource("gaps")
+  void whatWasCancelledInTheGapIsGoneInTime(
+      String deployment, Set<World.Refusal> refused, long seed) {
+    Settings.WorkerLimits limits = TIMINGS.get(deployment);
+    World w =
+        new World(
+            seed,
+            new World.Site(
+                NODES,
+                14,
+                List.of("a"),
+                limits,
+                new Settings.StateLimits(120, 35, 8, 12),
+                new Settings.CloudLimits(20, 3),
+                List.of(
+                    new Settings.Team("red", 8, 0, 0, 0), new Settings.Team("blue", 8, 0, 0, 0)),
+                new Policy(3, 8, 15, 0, 100, 20, Map.of())));
+    Random r = new Random(seed);
+    long outMs = Math.round(limits.cancelS() * 1000) + 12_000;
+    long gapMs = 70_000;
+    for (int round = 0; round < 2; round++) {
+      List<String> running = new ArrayList<>();
+      for (int i = 0; i < 12; i++) {
+        w.clock.at(
+            gapMs - 45_000 + i * 1_000 - w.clock.nowMs(),
+            () -> {
+              // Well longer than the outage: nothing of it ends by itself in time.
+              var spec = EndOfDayTest.job(w, "a", Urgency.NORMAL, 4, 1, 250, 0);
+              running.add(spec.uid());
+              w.user(spec);
+            });
+      }
+      w.clock.at(gapMs, () -> gap(w, refused, outMs));
+      w.clock.at(
+          gapMs - 1_500,
+          () -> {
+            // From just before the leader's last answered read to the service's end.
+            for (String uid : running) {
+              if (r.nextInt(5) > 0) {
+                w.clock.at(r.nextInt(3_400), () -> w.cancel(uid, 0));
+              }
+            }
+          });
+      gapMs += 2_000 + outMs + 23_000 + 40_000;
+    }
+    long overMs = gapMs;
+    w.clock.at(overMs, w::troublesAreOver);
+    w.clock.runUntil(overMs + 120_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(
+        w.checker.cancelledWhileOn() >= 8,
+        "cancelled while tasks were on machines: " + w.checker.cancelledWhileOn());
+  }
+
+  private static void gap(World w, Set<World.Refusal> refused, long outMs) {
+    int leader = w.leader();
+    if (leader >= 0) {
+      refused.forEach(kind -> w.refuse(leader, kind, true));
+      w.clock.at(14_000, () -> refused.forEach(kind -> w.refuse(leader, kind, false)));
+    }
+    w.clock.at(2_000, () -> w.state.outage(true));
+    w.clock.at(2_000 + outMs, () -> w.state.outage(false));
+  }
+}
