--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.settings.Settings;
 
@@ -25,7 +26,11 @@
     NOT_DONE,
     WENT_BACK,
     UNANSWERED,
-    STARVED
+    STARVED,
+    /** Accepted though it lacks a field or can never run. */
+    WRONGLY_ACCEPTED,
+    /** Not the status that the protocol has for such a request. */
+    WRONG_STATUS
   }
 
   record Broken(Rule rule, long atMs, String what) {}
@@ -53,9 +58,11 @@
   private final SimClock clock;
   private final Settings settings;
   private final Map<String, JobSeen> jobs = new HashMap<>();
+  private final Map<String, Integer> neverAcceptable = new HashMap<>();
   private final List<Broken> broken = new ArrayList<>();
   private int starts;
   private long troublesOverMs = -1;
+  private Consumer<String> lastTaskEnded = uid -> {};
 
   /** A job about which nothing is answered for this long once all is well counts as forgotten. */
   private static final long UNANSWERED_MS = 75_000;
@@ -90,6 +97,24 @@
     jobs.putIfAbsent(spec.uid(), seen);
   }
 
+  /** Nobody submits a job of this id in a form that can be accepted: it is to be refused so. */
+  void neverAcceptable(String uid, int status) {
+    neverAcceptable.put(uid, status);
+  }
+
+  private static boolean comesAgain(int status) {
+    return status == 429 || status == 503 || status == 504;
+  }
+
+  private void toldOfNoJob(String uid, int status, boolean submission) {
+    if (status == 200 || status == 201) {
+      report(submission ? Rule.WRONGLY_ACCEPTED : Rule.INVENTED, uid);
+    } else if (!comesAgain(status)
+        && status != (submission ? neverAcceptable.getOrDefault(uid, 0) : 404)) {
+      report(Rule.WRONG_STATUS, uid + " is answered " + status);
+    }
+  }
+
   void troublesAreOver() {
     troublesOverMs = clock.nowMs();
     jobs.values().forEach(j -> j.askedSinceMs = -1);
@@ -181,8 +206,71 @@
     }
   }
 
-  /** A task begins to be on a machine: it has its image. */
+  /** To be run whenever the last task of a job has completed. */
+  void whenALastTaskEnds(Consumer<String> then) {
+    lastTaskEnded = then;
+  }
+
+  /** Jobs of which something is on a machine, and that nobody has asked to cancel. */
+  List<String> running() {
+    return jobs.values().stream()
+        .filter(j -> !j.on.isEmpty() && !j.cancelAsked)
+        .map(j -> j.spec.uid())
+        .sorted()
+        .toList();
+  }
+
+  /** Jobs that a user was told to be accepted and not to be over. */
+  List<String> unfinished() {
+    return jobs.values().stream()
+        .filter(j -> j.acceptedMs <= clock.nowMs() && j.finalWord.isEmpty())
+        .map(j -> j.spec.uid())
+        .sorted()
+        .toList();
+  }
+
+  /** Jobs that a user was told to be done. */
+  List<String> toldDone() {
+    return jobs.values().stream()
+        .filter(j -> j.finalWord.equals("done"))
+        .map(j -> j.spec.uid())
+        .sorted()
+        .toList();
+  }
+
+  /** The machines that tasks of the job are on. */
+  List<String> hostsOf(String uid) {
+    return jobs.get(uid).on.values().stream().map(Place::host).distinct().toList();
+  }
+
+  /** A task that was on a machine goes on after the machine stood still. */
+  void goesOn(String uid, int task, Place place) {
+    JobSeen job = jobs.get(uid);
+    Place other = job.on.putIfAbsent(task, place);
+    if (other != null && !other.equals(place)) {
+      report(Rule.RAN_TWICE, uid + "/" + task + " goes on on " + place + " while on " + other);
+    }
+    if (isCancelledTooLong(job)) {
+      report(Rule.RAN_CANCELLED, uid + "/" + task + " goes on on " + place);
+    }
+  }
+
+  private boolean isCancelledTooLong(JobSeen job) {
+    return job.cancelToldMs >= 0
+        && clock.nowMs() - job.cancelToldMs > settings.workers().cancelS() * 1000;
+  }
+
+  /** A task begins to be on a machine, by an order that was given just now. */
   void starts(String uid, int task, Place place) {
+    starts(uid, task, place, clock.nowMs());
+  }
+
+  /**
+   * A task begins to be on a machine: it has its image.
+   *
+   * @param orderedMs when a controller gave the order that it starts by
+   */
+  void starts(String uid, int task, Place place, long orderedMs) {
     starts++;
     JobSeen job = jobs.get(uid);
     job.begunMs = job.begunMs < 0 ? clock.nowMs() : job.begunMs;
@@ -200,8 +288,7 @@
       report(Rule.WRONG_PLACE, uid + "/" + task + " on " + place);
     }
     job.on.put(task, place);
-    if (job.cancelToldMs >= 0
-        && clock.nowMs() - job.cancelToldMs > settings.workers().cancelS() * 1000) {
+    if (isCancelledTooLong(job)) {
       report(Rule.RAN_CANCELLED, uid + "/" + task + " starts");
     }
     checkLimit(s.team());
@@ -231,16 +318,17 @@
   }
 
   void completes(String uid, int task) {
-    jobs.get(uid).done.add(task);
+    JobSeen job = jobs.get(uid);
+    if (job.done.add(task) && allDone(job)) {
+      lastTaskEnded.accept(uid);
+    }
   }
 
   /** Looked at now and then: whatever is on a machine too long after its cancellation. */
   void look() {
     lookForUnanswered();
     for (JobSeen job : jobs.values()) {
-      if (job.cancelToldMs >= 0
-          && !job.on.isEmpty()
-          && clock.nowMs() - job.cancelToldMs > settings.workers().cancelS() * 1000) {
+      if (!job.on.isEmpty() && isCancelledTooLong(job)) {
         report(Rule.RAN_CANCELLED, job.spec.uid() + " is still on " + job.on.values());
         job.cancelToldMs = Long.MAX_VALUE / 2;
       }
@@ -254,9 +342,7 @@
   void told(String uid, int status, String state, boolean submission, long askedMs) {
     JobSeen job = jobs.get(uid);
     if (job == null) {
-      if (status == 200) {
-        report(Rule.INVENTED, uid);
-      }
+      toldOfNoJob(uid, status, submission);
       return;
     }
     if (askedMs >= job.acceptedMs
--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Shape;
@@ -143,6 +144,50 @@
   static World play(long seed, int troubles) {
     World w = new World(seed, NODES, 14, List.of("a", "b"));
     Random r = new Random(seed * 31 + 7);
+    submitJobs(w, r);
+    for (int i = 0; i < troubles; i++) {
+      w.clock.at(10_000 + r.nextInt(190_000), () -> trouble(w));
+    }
+    return finish(w);
+  }
+
+  /** Each pair overlaps: the second trouble begins while the first one lasts. */
+  static World playPairs(long seed, int pairs) {
+    World w = new World(seed, NODES, 14, List.of("a", "b"));
+    Random r = new Random(seed * 31 + 7);
+    submitJobs(w, r);
+    Troubles[] all = Troubles.values();
+    for (int i = 0; i < pairs; i++) {
+      playPair(
+          w,
+          r,
+          all[r.nextInt(all.length)],
+          all[r.nextInt(all.length)],
+          10_000 + r.nextInt(190_000));
+    }
+    return finish(w);
+  }
+
+  /** The two meet several times, in either order. */
+  static World playMeeting(long seed, Troubles first, Troubles second) {
+    World w = new World(seed, NODES, 14, List.of("a", "b"));
+    Random r = new Random(seed * 31 + 7);
+    submitJobs(w, r);
+    for (int i = 0; i < 5; i++) {
+      int atMs = 15_000 + i * 38_000 + r.nextInt(5_000);
+      playPair(w, r, i % 2 == 0 ? first : second, i % 2 == 0 ? second : first, atMs);
+    }
+    return finish(w);
+  }
+
+  private static void playPair(World w, Random r, Troubles first, Troubles second, int atMs) {
+    int forMs = 1_000 + r.nextInt(30_000);
+    int secondForMs = 1_000 + r.nextInt(30_000);
+    w.clock.at(atMs, () -> first.begin(w, r, forMs));
+    w.clock.at(atMs + r.nextInt(Math.min(forMs, 9_000)), () -> second.begin(w, r, secondForMs));
+  }
+
+  private static void submitJobs(World w, Random r) {
     for (int i = 0; i < 40; i++) {
       w.clock.at(
           3_000 + r.nextInt(150_000),
@@ -155,9 +200,9 @@
           });
     }
     w.clock.at(20_000, () -> w.poll("run-999999"));
-    for (int i = 0; i < troubles; i++) {
-      w.clock.at(10_000 + r.nextInt(190_000), () -> trouble(w));
-    }
+  }
+
+  private static World finish(World w) {
     w.clock.at(240_000, w::troublesAreOver);
     w.clock.runUntil(420_000);
     w.checker.endOfDay();
@@ -176,6 +221,27 @@
     assertEquals(0, w.checker.neverBegun(), "seed " + seed + ": accepted jobs never began");
   }
 
+  private static void assertRulesKept(World w, String what) {
+    assertEquals(List.of(), w.checker.broken(), what);
+    assertTrue(w.checker.starts() > 50, what + ": " + w.checker.starts() + " starts");
+    assertEquals(0, w.checker.neverBegun(), what + ": accepted jobs never began");
+  }
+
+  @ParameterizedTest
+  @EnumSource(Troubles.class)
+  void rulesHoldUnderEachTrouble(Troubles trouble) {
+    assertRulesKept(playMeeting(1, trouble, trouble), trouble.name());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      longs = {
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25
+      })
+  void rulesHoldWhereTwoTroublesMeet(long seed) {
+    assertRulesKept(playPairs(seed, 9), "seed " + seed);
+  }
+
   @Test
   void anArrayOfTheLargestSizeIsTakenAndWorkedOn() {
     World w = new World(5, NODES, 14, List.of("a", "b"));
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -1,18 +1,48 @@
 package org.ploverspindle.sim;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
 /** Who reaches whom, how long it takes, and what is lost or comes late. */
 final class SimNetwork {
+  private static final int MOST_HELD = 16;
+
   private final SimClock clock;
   private final Random random;
   private final Set<String> cut = new HashSet<>();
   private final Set<String> deaf = new HashSet<>();
   private final Set<String> mute = new HashSet<>();
+  private final Set<String> machineMute = new HashSet<>();
+  private final Map<String, List<Runnable>> held = new HashMap<>();
   private double lateShare;
   private double copyShare;
+  private double lateWrites;
+  private boolean writesAtOnce;
+  private double lateReports;
+  private boolean reportsForNext;
+
+  /** What becomes of a transaction. */
+  enum WriteFate {
+    ANSWERED,
+    /** Carried out after newer ones, and never answered. */
+    LATE,
+    /** Carried out at once, and never answered. */
+    UNANSWERED
+  }
+
+  /** What becomes of a report, beside its arrival. */
+  enum ReportFate {
+    ONCE,
+    /** A copy reaches every controller later. */
+    AGAIN,
+    /** A copy reaches every controller when the next term begins. */
+    FOR_NEXT
+  }
 
   SimNetwork(SimClock clock, Random random) {
     this.clock = clock;
@@ -51,21 +81,99 @@
     copyShare = share;
   }
 
+  /**
+   * This share of the transactions gets no answer: "no response" must neither be taken for done nor
+   * for failed. {@code atOnce}: others read what the writer does not know to stand; otherwise it is
+   * carried out after newer ones, which it must not undo.
+   */
+  void lateWrites(double share, boolean atOnce) {
+    lateWrites = share;
+    writesAtOnce = atOnce;
+  }
+
+  WriteFate writeFate() {
+    if (lateWrites <= 0 || random.nextDouble() >= lateWrites) {
+      return WriteFate.ANSWERED;
+    }
+    return writesAtOnce ? WriteFate.UNANSWERED : WriteFate.LATE;
+  }
+
+  /**
+   * Of this share of the reports a copy comes again, to every controller: what is old must not be
+   * believed. {@code forNext}: just as a leader begins who has heard nothing newer.
+   */
+  void lateReports(double share, boolean forNext) {
+    lateReports = share;
+    reportsForNext = forNext;
+  }
+
+  ReportFate reportFate() {
+    if (lateReports <= 0 || random.nextDouble() >= lateReports) {
+      return ReportFate.ONCE;
+    }
+    return reportsForNext ? ReportFate.FOR_NEXT : ReportFate.AGAIN;
+  }
+
+  /**
+   * The machine opens no connection to any controller, so that its lease runs out, while direct
+   * commands reach it and are answered: what they show is no sign that it hears.
+   */
+  void machineMute(String host, boolean now) {
+    if (now) {
+      machineMute.add(host);
+    } else {
+      machineMute.remove(host);
+    }
+  }
+
+  boolean speaks(String host) {
+    return !machineMute.contains(host);
+  }
+
+  /**
+   * Packets between the two are held back and delivered in order when that ends, long after their
+   * senders gave up. Only a few connections are open; what opens another one is lost.
+   */
+  void hold(String a, String b, boolean now) {
+    if (now) {
+      held.putIfAbsent(pair(a, b), new ArrayList<>());
+    } else {
+      List<Runnable> packets = held.remove(pair(a, b));
+      if (packets != null) {
+        packets.forEach(p -> clock.at(1, p));
+      }
+    }
+  }
+
+  private boolean heldBack(String from, String to, Runnable packet) {
+    List<Runnable> packets = held.get(pair(from, to));
+    if (packets == null) {
+      return false;
+    }
+    if (packets.size() < MOST_HELD) {
+      packets.add(packet);
+    }
+    return true;
+  }
+
+  private static String pair(String a, String b) {
+    return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+  }
+
   boolean copied() {
     return copyShare > 0 && random.nextDouble() < copyShare;
   }
 
   void cut(String a, String b, boolean now) {
-    String pair = a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
     if (now) {
-      cut.add(pair);
+      cut.add(pair(a, b));
     } else {
-      cut.remove(pair);
+      cut.remove(pair(a, b));
     }
   }
 
   boolean reaches(String a, String b) {
-    return !cut.contains(a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a);
+    return !cut.contains(pair(a, b));
   }
 
   /**
@@ -74,7 +182,9 @@
    */
   void request(String from, String to, Runnable deliver, Runnable lost) {
     long delay = 1 + random.nextInt(15);
-    if (!hears(to)) {
+    if (!hears(to) || !speaks(from)) {
+      lost.run();
+    } else if (heldBack(from, to, deliver)) {
       lost.run();
     } else if (!reaches(from, to)) {
       if (random.nextInt(3) == 0) {
@@ -97,6 +207,9 @@
         || random.nextDouble() < lateShare) {
       return false;
     }
+    if (heldBack(from, to, deliver)) {
+      return false;
+    }
     clock.at(1 + random.nextInt(15), deliver);
     return true;
   }
--- a/src/test/java/org/ploverspindle/sim/SimState.java
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -37,6 +37,7 @@
   private long ledger = 1;
   private long nextHold = 1;
   private boolean out;
+  private Runnable newTerm = () -> {};
 
   SimState(SimClock clock, Settings.StateLimits limits) {
     this.clock = clock;
@@ -45,6 +46,11 @@
     this.changes = new Rate(clock, limits.writeRps(), 1);
   }
 
+  /** To be run whenever a controller comes to lead, at the moment of the write that makes it so. */
+  void whenATermBegins(Runnable then) {
+    newTerm = then;
+  }
+
   /** False when a request is answered 503 or 429. */
   boolean serves() {
     return !out && requests.take(1);
@@ -156,6 +162,9 @@
         remove(change.key());
       }
     }
+    if (txn.changes().stream().anyMatch(c -> c.key().equals(Keys.TOKEN))) {
+      newTerm.run();
+    }
     return new TxnResult.Committed(ledger);
   }
 
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Order;
@@ -21,15 +22,19 @@
     void report(SimWorker from, int node, Report report, long serial);
   }
 
+  private static final long ANSWER_LIMIT_MS = 4_000;
+
   private static final class Run {
     private final String uid;
     private final int task;
     private final long attempt;
+    private final long orderedMs;
     private Report.Phase phase = Report.Phase.FETCHING;
     private Report.Cause cause = Report.Cause.NONE;
     private boolean saved;
 
-    Run(String uid, int task, long attempt) {
+    Run(String uid, int task, long attempt, long orderedMs) {
+      this.orderedMs = orderedMs;
       this.uid = uid;
       this.task = task;
       this.attempt = attempt;
@@ -58,6 +63,8 @@
   private boolean gone;
   private boolean sick;
   private boolean recalled;
+  private long hangsUntilMs;
+  private long hangsMs;
 
   SimWorker(
       SimClock clock,
@@ -110,13 +117,84 @@
     return place.host() + ":9000";
   }
 
-  /** Commands that come straight here; the answer is the report after them. */
-  Report direct(long token, long ofTenure, List<Order> orders) {
-    if (!gone && token >= warrant && ofTenure == tenure) {
-      warrant = token;
-      orders.forEach(this::execute);
+  /** Neither sick nor about to be taken, and it goes on: what is asked of it, it can do. */
+  boolean sound() {
+    return !gone && !sick && !recalled && !hangs();
+  }
+
+  /**
+   * The machine stands still: its tasks do not progress, it reports nothing, and what reaches it
+   * waits. It may go on at any time within its lease, and then do what it was told before others
+   * were told otherwise.
+   */
+  void hang(long forMs) {
+    long untilMs = clock.nowMs() + forMs;
+    if (gone || untilMs <= hangsUntilMs) {
+      return;
     }
-    return report();
+    hangsMs += untilMs - Math.max(clock.nowMs(), hangsUntilMs);
+    hangsUntilMs = untilMs;
+    clock.at(forMs, this::goOn);
+  }
+
+  private boolean hangs() {
+    return clock.nowMs() < hangsUntilMs;
+  }
+
+  /** First of all that waited: a lease that ran out meanwhile ends everything. */
+  private void goOn() {
+    if (gone || hangs()) {
+      return;
+    }
+    checkLease();
+    for (Run r : runs.values()) {
+      if (isOn(r)) {
+        checker.goesOn(r.uid, r.task, place);
+      }
+    }
+  }
+
+  private void whenAwake(Runnable work) {
+    if (hangs()) {
+      clock.at(hangsUntilMs - clock.nowMs(), () -> whenAwake(work));
+    } else {
+      work.run();
+    }
+  }
+
+  private long stoodStillMs() {
+    return hangsMs - Math.max(0, hangsUntilMs - clock.nowMs());
+  }
+
+  /** After so much time in which the machine did not stand still. */
+  private void afterWork(long delayMs, Runnable work) {
+    long before = stoodStillMs();
+    clock.at(
+        delayMs,
+        () -> {
+          long missedMs = stoodStillMs() - before;
+          if (missedMs > 0) {
+            afterWork(missedMs, work);
+          } else {
+            work.run();
+          }
+        });
+  }
+
+  /** Commands that come straight here; the answer is the report after them. */
+  void direct(
+      long token, long ofTenure, List<Order> orders, long orderedMs, Consumer<Report> then) {
+    whenAwake(
+        () -> {
+          if (gone) {
+            return;
+          }
+          if (token >= warrant && ofTenure == tenure) {
+            warrant = token;
+            orders.forEach(o -> execute(o, orderedMs));
+          }
+          then.accept(report());
+        });
   }
 
   private void killAll() {
@@ -127,11 +205,15 @@
   }
 
   private void leave(Run r) {
-    if (r.phase == Report.Phase.RUNNING || r.phase == Report.Phase.SAVING) {
+    if (isOn(r)) {
       checker.leaves(r.uid, r.task, place);
     }
   }
 
+  private static boolean isOn(Run r) {
+    return r.phase == Report.Phase.RUNNING || r.phase == Report.Phase.SAVING;
+  }
+
   private void watchLease() {
     clock.at(
         100,
@@ -139,21 +221,38 @@
           if (gone) {
             return;
           }
-          if (clock.nowMs() - leaseFromMs > limits.leaseS() * 1000) {
-            killAll();
-            tenure++;
-            tally = 0;
-            leaseFromMs = clock.nowMs();
+          if (!hangs()) {
+            checkLease();
+          } else if (leaseIsOver()) {
+            // It can't go on with them: from now on they may run elsewhere.
+            runs.values().forEach(this::leave);
           }
           watchLease();
         });
   }
 
+  private boolean leaseIsOver() {
+    return clock.nowMs() - leaseFromMs > limits.leaseS() * 1000;
+  }
+
+  private void checkLease() {
+    if (leaseIsOver()) {
+      killAll();
+      tenure++;
+      tally = 0;
+      leaseFromMs = clock.nowMs();
+    }
+  }
+
   private void next(long delayMs) {
     clock.at(delayMs, this::send);
   }
 
   private void send() {
+    if (hangs()) {
+      whenAwake(this::send);
+      return;
+    }
     if (gone || inFlight >= 0) {
       return;
     }
@@ -162,7 +261,7 @@
     inFlightTenure = tenure;
     inFlightSentMs = clock.nowMs();
     line.report(this, node, report(), mine);
-    clock.at(4_000, () -> failed(mine));
+    clock.at(ANSWER_LIMIT_MS, () -> whenAwake(() -> failed(mine)));
   }
 
   private Report report() {
@@ -193,6 +292,10 @@
   }
 
   void refused(long mine, int toNode) {
+    whenAwake(() -> takeRefusal(mine, toNode));
+  }
+
+  private void takeRefusal(long mine, int toNode) {
     if (inFlight != mine || gone) {
       return;
     }
@@ -206,10 +309,21 @@
     }
   }
 
-  void answered(long mine, long token, List<Order> orders) {
+  /**
+   * @param orderedMs when the controller gave the orders
+   */
+  void answered(long mine, long token, List<Order> orders, long orderedMs) {
+    whenAwake(() -> takeAnswer(mine, token, orders, orderedMs));
+  }
+
+  private void takeAnswer(long mine, long token, List<Order> orders, long orderedMs) {
     if (inFlight != mine || gone) {
       return;
     }
+    if (clock.nowMs() - inFlightSentMs > ANSWER_LIMIT_MS) {
+      failed(mine);
+      return;
+    }
     inFlight = -1;
     next(Math.round(limits.reportS() * 1000 * (0.75 + random.nextDouble() / 2)));
     if (inFlightTenure != tenure || token < warrant) {
@@ -217,14 +331,14 @@
     }
     warrant = token;
     leaseFromMs = inFlightSentMs;
-    orders.forEach(this::execute);
+    orders.forEach(o -> execute(o, orderedMs));
   }
 
-  private void execute(Order order) {
+  private void execute(Order order, long orderedMs) {
     Run known = runs.get(order.attempt());
     if (order instanceof Order.Launch launch) {
       if (known == null) {
-        launch(launch);
+        launch(launch, orderedMs);
       }
     } else if (order instanceof Order.Stop stop) {
       if (known != null && known.phase != Report.Phase.EXITED) {
@@ -235,8 +349,8 @@
     }
   }
 
-  private void launch(Order.Launch o) {
-    Run r = new Run(o.uid(), o.task(), o.attempt());
+  private void launch(Order.Launch o, long orderedMs) {
+    Run r = new Run(o.uid(), o.task(), o.attempt(), orderedMs);
     JobSpec spec = specs.get(o.uid());
     boolean busy =
         runs.values().stream()
@@ -255,7 +369,7 @@
     } else if (used + spec.cores() > cores + 1e-9) {
       exit(r, Report.Cause.NO_ROOM);
     } else {
-      clock.at(200 + random.nextInt(1_500), () -> begin(r, spec));
+      afterWork(200 + random.nextInt(1_500), () -> begin(r, spec));
     }
   }
 
@@ -268,11 +382,11 @@
       return;
     }
     r.phase = Report.Phase.RUNNING;
-    checker.starts(r.uid, r.task, place);
+    checker.starts(r.uid, r.task, place, r.orderedMs);
     if (sick || spec.jobClass().equals(BROKEN)) {
-      clock.at(sick ? 300 : 20, () -> end(r, Report.Cause.ERROR));
+      afterWork(sick ? 300 : 20, () -> end(r, Report.Cause.ERROR));
     } else if (spec.expectedS() > 0) {
-      clock.at(Math.round(spec.expectedS() * 1000), () -> end(r, Report.Cause.DONE));
+      afterWork(Math.round(spec.expectedS() * 1000), () -> end(r, Report.Cause.DONE));
     }
   }
 
@@ -295,7 +409,7 @@
     JobSpec spec = specs.get(r.uid);
     if (r.phase == Report.Phase.RUNNING && spec.saves() && windDownS >= spec.saveCostS()) {
       r.phase = Report.Phase.SAVING;
-      clock.at(
+      afterWork(
           Math.round(spec.saveCostS() * 1000),
           () -> {
             if (there(r) && r.phase == Report.Phase.SAVING) {
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -3,9 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -39,6 +43,7 @@
   static final String CLOUD = "cloud";
   private static final long STATE_TIMEOUT_MS = 2_500;
   private static final long CLOUD_TIMEOUT_MS = 5_000;
+  private static final int MOST_KEPT = 400;
 
   final SimClock clock = new SimClock();
   final Random random;
@@ -55,7 +60,20 @@
   private final List<Controller> controllers = new ArrayList<>();
   private final Map<String, Set<Long>> lostLaunches = new HashMap<>();
   private final Set<String> refusals = new HashSet<>();
+  private final Deque<byte[]> keptReports = new ArrayDeque<>();
+  private final Set<String> looked = new HashSet<>();
   private int jobCounter;
+  private double cancelAtEnd;
+  private boolean closeLooks;
+  private final OddRequests odd;
+
+  /** How a controller loses the state service, its other controllers beside. */
+  enum CutMode {
+    /** What is sent is held back, and delivered when the cut ends. */
+    HOLD,
+    /** The state service answers it 503, to reads, writes and leases. */
+    REFUSE
+  }
 
   /** What the state service may refuse to one node alone. */
   enum Refusal {
@@ -112,6 +130,9 @@
     this.network = new SimNetwork(clock, random);
     this.state = new SimState(clock, site.state());
     this.checker = new Checker(clock, settings);
+    this.odd = new OddRequests(this);
+    state.whenATermBegins(this::deliverKeptReports);
+    checker.whenALastTaskEnds(this::lastTaskEnded);
     List<MachineType> types =
         List.of(
             new MachineType("small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, zones),
@@ -221,6 +242,117 @@
     processes.get(i).freeze(forMs);
   }
 
+  /**
+   * For a while the node reaches neither the state service nor the other controllers, while workers
+   * and users reach it: it can't tell that from an outage, and must not lead for long.
+   */
+  void nodeCut(int node, CutMode mode, long forMs) {
+    cutNode(node, mode, true);
+    clock.at(forMs, () -> cutNode(node, mode, false));
+  }
+
+  private void cutNode(int node, CutMode mode, boolean now) {
+    for (int i = 0; i < nodes; i++) {
+      network.hold(node(node), node(i), now);
+    }
+    if (mode == CutMode.HOLD) {
+      network.hold(node(node), STATE, now);
+    } else {
+      for (Refusal kind : Refusal.values()) {
+        refuse(node, kind, now);
+      }
+    }
+  }
+
+  /**
+   * Users cancel that many jobs that run, all within a fifth of a second, and up to eight of their
+   * machines then hang: their stops wait there, and nothing of them may go on too late.
+   *
+   * @param hangMs how long the machines hang; 0: none does
+   */
+  void cancelNow(int count, long hangMs) {
+    List<String> running = new ArrayList<>(checker.running());
+    Collections.shuffle(running, random);
+    Set<String> hosts = new LinkedHashSet<>();
+    for (String uid : running.subList(0, Math.min(count, running.size()))) {
+      hosts.addAll(checker.hostsOf(uid));
+      clock.at(random.nextInt(200), () -> cancel(uid, 0));
+    }
+    if (hangMs > 0) {
+      cloud.workers().stream()
+          .filter(w -> hosts.contains(w.host()))
+          .limit(8)
+          .forEach(w -> clock.at(random.nextInt(200), () -> w.hang(hangMs)));
+    }
+  }
+
+  /**
+   * That share of the jobs is cancelled just as the last task ends, or while that is being
+   * recorded: done and cancelled exclude each other, whichever comes first.
+   */
+  void cancelAtEnd(double share) {
+    cancelAtEnd = share;
+  }
+
+  /**
+   * From now on users ask at every node within milliseconds after a job was accepted, ended or was
+   * confirmed as cancelled, and repeat the submission, and some cancel: no node may lag behind
+   * another's word.
+   */
+  void closeLooks(boolean now) {
+    closeLooks = now;
+  }
+
+  /** From now on users send what is late, needless or wrong, to all nodes. */
+  void oddRequests(boolean now) {
+    odd.play(now);
+  }
+
+  private void lastTaskEnded(String uid) {
+    if (cancelAtEnd > 0 && random.nextDouble() < cancelAtEnd) {
+      clock.at(random.nextBoolean() ? 0 : random.nextInt(2_500), () -> cancel(uid, 0));
+    }
+    lookClosely(uid, "ended");
+  }
+
+  /** Once for each thing that happens to a job; what these users hear makes nobody look again. */
+  private void lookClosely(String uid, String why) {
+    if (!closeLooks || !specs.containsKey(uid) || !looked.add(uid + " " + why)) {
+      return;
+    }
+    for (int i = 0; i < nodes; i++) {
+      int to = i;
+      for (int again = 0; again < 3; again++) {
+        clock.at(random.nextInt(12), () -> askAt(to, uid));
+      }
+      clock.at(random.nextInt(12), () -> submitAt(to, uid, encode(specs.get(uid))));
+    }
+    if (random.nextInt(6) == 0) {
+      clock.at(random.nextInt(12), () -> cancel(uid, 0));
+    }
+  }
+
+  /** A single question at the node; whatever comes back is checked. */
+  void askAt(int node, String uid) {
+    toNode(node, c -> c.poll(uid, heard(uid, false, node, a -> {})));
+  }
+
+  /** A single submission at the node; whatever comes back is checked. */
+  void submitAt(int node, String uid, byte[] body) {
+    Consumer<Answer> then = heard(uid, true, node, a -> {});
+    toNode(node, c -> c.submit(body, then));
+  }
+
+  /** A single cancellation at the node; whatever comes back is checked. */
+  void cancelAt(int node, String uid) {
+    Consumer<Answer> then = heard(uid, false, node, a -> {});
+    toNode(node, c -> c.withdraw(uid, then));
+  }
+
+  JobSpec spec(String uid) {
+    return specs.get(uid);
+  }
+
   private static String node(int i) {
     return "n" + i;
   }
@@ -233,7 +365,7 @@
       SimClock.Process p,
       String target,
       long timeoutMs,
-      Supplier<T> execute,
+      Consumer<Consumer<T>> execute,
       T none,
       Consumer<T> then) {
     boolean[] over = {false};
@@ -248,10 +380,7 @@
     network.request(
         node(i),
         target,
-        () -> {
-          T result = execute.get();
-          network.answer(target, node(i), () -> once.accept(result));
-        },
+        () -> execute.accept(result -> network.answer(target, node(i), () -> once.accept(result))),
         () -> {});
   }
 
@@ -270,13 +399,35 @@
           p,
           STATE,
           STATE_TIMEOUT_MS,
-          () -> state.serves() && !refusals.contains(kind + "/" + i) ? execute.get() : refused,
+          reply -> reply.accept(serves(kind) ? execute.get() : refused),
           none,
           then);
     }
 
+    private boolean serves(Refusal kind) {
+      return state.serves() && !refusals.contains(kind + "/" + i);
+    }
+
+    /** Nobody hears what becomes of it. */
+    private void executeUnanswered(Txn txn, long delayMs, Consumer<TxnResult> then) {
+      clock.at(
+          delayMs,
+          () -> {
+            if (serves(Refusal.WRITES)) {
+              state.txn(txn);
+            }
+          });
+      clock.at(STATE_TIMEOUT_MS, () -> p.schedule(0, () -> then.accept(new TxnResult.Unknown())));
+    }
+
     @Override
     public void txn(Txn txn, Consumer<TxnResult> then) {
+      SimNetwork.WriteFate fate = network.writeFate();
+      if (fate != SimNetwork.WriteFate.ANSWERED && network.reaches(node(i), STATE)) {
+        boolean late = fate == SimNetwork.WriteFate.LATE;
+        executeUnanswered(txn, late ? 2_000 + random.nextInt(10_000) : 1, then);
+        return;
+      }
       call(
           Refusal.WRITES,
           () -> state.txn(txn),
@@ -331,7 +482,7 @@
           p,
           CLOUD,
           CLOUD_TIMEOUT_MS,
-          () -> cloud.serves() ? execute.get() : refused,
+          reply -> reply.accept(cloud.serves() ? execute.get() : refused),
           none,
           then);
     }
@@ -391,6 +542,7 @@
         long tenure,
         List<Order> orders,
         Consumer<Optional<Report>> then) {
+      long orderedMs = clock.nowMs();
       Optional<SimWorker> to =
           cloud.workers().stream().filter(w -> w.address().equals(address)).findFirst();
       if (to.isEmpty()) {
@@ -402,12 +554,19 @@
           p,
           to.get().host(),
           1_500,
-          () -> Optional.of(to.get().direct(token, tenure, orders)),
+          reply ->
+              to.get().direct(token, tenure, orders, orderedMs, r -> reply.accept(Optional.of(r))),
           Optional.<Report>empty(),
           then);
       if (random.nextInt(6) == 0) {
         // A copy of what was carried out comes late.
-        clock.at(500 + random.nextInt(40_000), () -> to.get().direct(token, tenure, orders));
+        clock.at(
+            500 + random.nextInt(40_000),
+            () -> {
+              if (network.hears(to.get().host())) {
+                to.get().direct(token, tenure, orders, orderedMs, r -> {});
+              }
+            });
       }
     }
   }
@@ -461,6 +620,9 @@
 
   private void report(SimWorker from, int to, Report report, long serial) {
     byte[] body = encode(report);
+    if (network.speaks(from.host())) {
+      repeat(body);
+    }
     if (network.copied()) {
       // From a moment to well over a lease later, to whichever node the packets were held for.
       int late = random.nextInt(nodes);
@@ -490,16 +652,50 @@
                       .checkin(
                           body,
                           answer -> {
+                            long orderedMs = clock.nowMs();
                             countLost(from.host(), answer);
                             if (!p.dead()) {
                               network.answer(
-                                  node(to), from.host(), () -> answered(from, serial, answer));
+                                  node(to),
+                                  from.host(),
+                                  () -> answered(from, serial, answer, orderedMs));
                             }
                           }));
         },
         () -> {});
   }
 
+  /** Of some reports a copy comes again; to whom it was on its way, and to all others. */
+  private void repeat(byte[] body) {
+    switch (network.reportFate()) {
+      case ONCE -> {}
+      case AGAIN ->
+          clock.at(
+              2_000 + random.nextInt((int) (settings.workers().leaseS() * 4_000)),
+              () -> toEveryController(body));
+      case FOR_NEXT -> {
+        keptReports.add(body);
+        if (keptReports.size() > MOST_KEPT) {
+          keptReports.remove();
+        }
+      }
+    }
+  }
+
+  /** Some just before the new leader knows that it leads, some just after. */
+  private void deliverKeptReports() {
+    List<byte[]> kept = List.copyOf(keptReports);
+    keptReports.clear();
+    kept.forEach(body -> clock.at(random.nextInt(50), () -> toEveryController(body)));
+  }
+
+  private void toEveryController(byte[] body) {
+    for (int i = 0; i < nodes; i++) {
+      Controller c = controllers.get(i);
+      processes.get(i).schedule(0, () -> c.checkin(body, answer -> {}));
+    }
+  }
+
   private void countLost(String host, Answer answer) {
     if (!network.hears(host)) {
       for (JsonNode o : Cbor.readMap(answer.body()).orElse(Cbor.map()).path("orders")) {
@@ -515,7 +711,7 @@
     return lostLaunches.getOrDefault(host, Set.of()).size();
   }
 
-  private void answered(SimWorker to, long serial, Answer answer) {
+  private void answered(SimWorker to, long serial, Answer answer, long orderedMs) {
     ObjectNode body = Cbor.readMap(answer.body()).orElse(Cbor.map());
     if (answer.status() == 200) {
       List<Order> orders = new ArrayList<>();
@@ -531,7 +727,7 @@
               default -> new Order.Forget(uid, task, attempt);
             });
       }
-      to.answered(serial, body.path("warrant").asLong(), orders);
+      to.answered(serial, body.path("warrant").asLong(), orders, orderedMs);
     } else {
       String name = body.path("steward").asText("n-1");
       to.refused(serial, answer.status() == 421 ? Integer.parseInt(name.substring(1)) : -1);
@@ -600,6 +796,9 @@
         String status = Cbor.readMap(a.body()).orElse(Cbor.map()).path("status").asText("");
         checker.told(uid, a.status(), status, submission, askedMs);
         then.accept(a);
+        if (a.status() == 200 || a.status() == 201) {
+          lookClosely(uid, status.equals("running") ? "queued" : status);
+        }
       }
     };
   }
