Checker: idle room, starts after a confirmed cancellation, hung machines, wrong acceptance

The checker knew no rule for a job left waiting beside a machine with room, none for what is accepted though it can't run or lacks a field, and did not see a task that goes on after its machine hung past its lease. Starts after a confirmed cancellation are counted apart, by when they were ordered: a command in flight may still start a task, which must be gone in time, while one ordered later is what the protocol forbids. Each is shown to be reported in CheckerTest.

A job whose cancellation was reported once as run on no longer has its time changed.

--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.settings.Settings;
 
 /**
@@ -27,6 +29,8 @@
     WENT_BACK,
     UNANSWERED,
     STARVED,
+    /** Left waiting while there is room for it. */
+    IDLE_ROOM,
     /** Accepted though it lacks a field or can never run. */
     WRONGLY_ACCEPTED,
     /** Not the status that the protocol has for such a request. */
@@ -37,6 +41,20 @@
 
   record Place(String host, String type, String zone, boolean spot) {}
 
+  /**
+   * A start that was executed after a user was told that the job is cancelled. One that was ordered
+   * before the word was in flight, and is no fault as long as it is gone in time; one that was
+   * ordered after it is what the protocol forbids.
+   */
+  record LateStart(String uid, int task, long orderedAfterMs, long startedAfterMs) {
+    boolean orderedAfterTheWord() {
+      return orderedAfterMs > 0;
+    }
+  }
+
+  /** What the truth is on a machine, beside the tasks that are on it. */
+  record Offer(Place place, Resources size, BooleanSupplier sound) {}
+
   private static final class JobSeen {
     private final JobSpec spec;
     private long acceptedMs = Long.MAX_VALUE;
@@ -45,10 +63,12 @@
     private long askedSinceMs = -1;
     private boolean cancelAsked;
     private long cancelToldMs = -1;
+    private boolean runsOnReported;
     private String finalWord = "";
     private long finalMs = Long.MAX_VALUE;
     private final Set<Integer> done = new HashSet<>();
     private final Map<Integer, Place> on = new LinkedHashMap<>();
+    private final Map<String, Long> roomSinceMs = new HashMap<>();
 
     JobSeen(JobSpec spec) {
       this.spec = spec;
@@ -58,8 +78,13 @@
   private final SimClock clock;
   private final Settings settings;
   private final Map<String, JobSeen> jobs = new HashMap<>();
-  private final Map<String, Integer> neverAcceptable = new HashMap<>();
+
+  private record Refusal(int status, String why) {}
+
+  private final Map<String, Refusal> neverAcceptable = new HashMap<>();
   private final List<Broken> broken = new ArrayList<>();
+  private final List<LateStart> lateStarts = new ArrayList<>();
+  private final Map<String, Offer> offers = new LinkedHashMap<>();
   private int starts;
   private long troublesOverMs = -1;
   private Consumer<String> lastTaskEnded = uid -> {};
@@ -67,6 +92,9 @@
   /** A job about which nothing is answered for this long once all is well counts as forgotten. */
   private static final long UNANSWERED_MS = 75_000;
 
+  /** No job waits so long beside a machine that has room for it. */
+  private static final long WAIT_MS = 90_000;
+
   /** The largest jobs of a class are to begin within this. */
   private static final long BEGIN_MS = 240_000;
 
@@ -83,6 +111,88 @@
     return starts;
   }
 
+  List<LateStart> lateStarts() {
+    return lateStarts;
+  }
+
+  /**
+   * A machine is up.
+   *
+   * @param sound whether it can still do what is asked of it
+   */
+  void machineUp(Place place, Resources size, BooleanSupplier sound) {
+    offers.put(place.host(), new Offer(place, size, sound));
+  }
+
+  /**
+   * Once troubles are over: a job that waits, of which nothing begins, beside one and the same
+   * machine that has room for a task of it all the while.
+   */
+  private void lookForIdleRoom() {
+    if (troublesOverMs < 0) {
+      return;
+    }
+    Map<String, Resources> used = new HashMap<>();
+    Map<String, Resources> usedByTeam = new HashMap<>();
+    for (JobSeen job : jobs.values()) {
+      Resources task = job.spec.perTask();
+      for (Place p : job.on.values()) {
+        used.merge(p.host(), task, Resources::plus);
+        usedByTeam.merge(job.spec.team(), task, Resources::plus);
+      }
+    }
+    List<Offer> sound = offers.values().stream().filter(o -> o.sound().getAsBoolean()).toList();
+    for (JobSeen job : jobs.values()) {
+      boolean waits =
+          job.acceptedMs <= clock.nowMs()
+              && !job.cancelAsked
+              && job.finalWord.isEmpty()
+              && job.done.size() + job.on.size() < job.spec.tasks();
+      if (!waits || !isBelowLimit(job.spec, usedByTeam)) {
+        job.roomSinceMs.clear();
+        continue;
+      }
+      Set<String> withRoom = new HashSet<>();
+      for (Offer o : sound) {
+        Resources left = o.size().minus(used.getOrDefault(o.place().host(), Resources.NONE));
+        if (mayBeOn(job, o.place()) && job.spec.perTask().fitsIn(left)) {
+          withRoom.add(o.place().host());
+          job.roomSinceMs.putIfAbsent(o.place().host(), clock.nowMs());
+        }
+      }
+      job.roomSinceMs.keySet().retainAll(withRoom);
+      for (Map.Entry<String, Long> e : job.roomSinceMs.entrySet()) {
+        if (clock.nowMs() - e.getValue() > WAIT_MS) {
+          report(Rule.IDLE_ROOM, job.spec.uid() + " waits beside " + e.getKey());
+          job.roomSinceMs.clear();
+          break;
+        }
+      }
+    }
+  }
+
+  private boolean isBelowLimit(JobSpec spec, Map<String, Resources> usedByTeam) {
+    Settings.Team t = settings.team(spec.team()).orElseThrow();
+    Resources then = usedByTeam.getOrDefault(spec.team(), Resources.NONE).plus(spec.perTask());
+    Resources limit =
+        Resources.offered(
+            t.coresMax() > 0 ? t.coresMax() : 1e12,
+            t.acceleratorsMax() > 0 ? t.acceleratorsMax() : 1e12,
+            1e12);
+    return then.fitsIn(limit);
+  }
+
+  /** By the job's demands and where its other tasks are now. */
+  private static boolean mayBeOn(JobSeen job, Place place) {
+    JobSpec s = job.spec;
+    boolean typeOk = s.types().map(t -> t.contains(place.type())).orElse(true);
+    boolean zoneOk = s.zone().map(z -> z.equals(place.zone())).orElse(true);
+    long sameZone = job.on.values().stream().filter(p -> p.zone().equals(place.zone())).count();
+    boolean together = !s.oneZone() || sameZone == job.on.size();
+    boolean apart = !s.apart() || sameZone < (s.tasks() + 1) / 2;
+    return typeOk && zoneOk && together && apart && (s.spot() || !place.spot());
+  }
+
   long jobsDone() {
     return jobs.values().stream().filter(j -> j.finalWord.equals("done")).count();
   }
@@ -98,8 +208,8 @@
   }
 
   /** Nobody submits a job of this id in a form that can be accepted: it is to be refused so. */
-  void neverAcceptable(String uid, int status) {
-    neverAcceptable.put(uid, status);
+  void neverAcceptable(String uid, int status, String why) {
+    neverAcceptable.put(uid, new Refusal(status, why));
   }
 
   private static boolean comesAgain(int status) {
@@ -107,11 +217,12 @@
   }
 
   private void toldOfNoJob(String uid, int status, boolean submission) {
+    Refusal refusal = neverAcceptable.getOrDefault(uid, new Refusal(404, "nobody submitted it"));
+    String what = uid + " (" + refusal.why + ") is answered " + status;
     if (status == 200 || status == 201) {
-      report(submission ? Rule.WRONGLY_ACCEPTED : Rule.INVENTED, uid);
-    } else if (!comesAgain(status)
-        && status != (submission ? neverAcceptable.getOrDefault(uid, 0) : 404)) {
-      report(Rule.WRONG_STATUS, uid + " is answered " + status);
+      report(submission ? Rule.WRONGLY_ACCEPTED : Rule.INVENTED, what);
+    } else if (!comesAgain(status) && status != (submission ? refusal.status : 404)) {
+      report(Rule.WRONG_STATUS, what);
     }
   }
 
@@ -278,20 +389,19 @@
     if (other != null) {
       report(Rule.RAN_TWICE, uid + "/" + task + " starts on " + place + " while on " + other);
     }
-    JobSpec s = job.spec;
-    boolean typeOk = s.types().map(t -> t.contains(place.type())).orElse(true);
-    boolean zoneOk = s.zone().map(z -> z.equals(place.zone())).orElse(true);
-    long sameZone = job.on.values().stream().filter(p -> p.zone().equals(place.zone())).count();
-    boolean together = !s.oneZone() || sameZone == job.on.size();
-    boolean apart = !s.apart() || sameZone < (s.tasks() + 1) / 2;
-    if (!typeOk || !zoneOk || !together || !apart || place.spot() && !s.spot()) {
+    job.roomSinceMs.clear();
+    if (!mayBeOn(job, place)) {
       report(Rule.WRONG_PLACE, uid + "/" + task + " on " + place);
     }
     job.on.put(task, place);
+    if (job.cancelToldMs >= 0) {
+      long told = job.cancelToldMs;
+      lateStarts.add(new LateStart(uid, task, orderedMs - told, clock.nowMs() - told));
+    }
     if (isCancelledTooLong(job)) {
       report(Rule.RAN_CANCELLED, uid + "/" + task + " starts");
     }
-    checkLimit(s.team());
+    checkLimit(job.spec.team());
   }
 
   private void checkLimit(String team) {
@@ -327,10 +437,11 @@
   /** Looked at now and then: whatever is on a machine too long after its cancellation. */
   void look() {
     lookForUnanswered();
+    lookForIdleRoom();
     for (JobSeen job : jobs.values()) {
-      if (!job.on.isEmpty() && isCancelledTooLong(job)) {
+      if (!job.on.isEmpty() && !job.runsOnReported && isCancelledTooLong(job)) {
         report(Rule.RAN_CANCELLED, job.spec.uid() + " is still on " + job.on.values());
-        job.cancelToldMs = Long.MAX_VALUE / 2;
+        job.runsOnReported = true;
       }
     }
   }
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.Shape;
 import org.ploverspindle.jobs.Urgency;
 
@@ -207,4 +208,151 @@
     checker.endOfDay();
     only(Checker.Rule.STARVED);
   }
+
+  private void accepted(JobSpec spec) {
+    checker.submitted(spec);
+    checker.told(spec.uid(), 201, "queued", true, clock.nowMs());
+  }
+
+  private void lookForSeconds(int seconds) {
+    for (int i = 0; i < seconds; i++) {
+      clock.runUntil(clock.nowMs() + 1_000);
+      checker.look();
+    }
+  }
+
+  private static void up(Checker checker, Checker.Place place, double cores) {
+    checker.machineUp(place, Resources.offered(cores, 0, 16), () -> true);
+  }
+
+  @Test
+  void reportsAJobThatWaitsBesideRoom() {
+    accepted(spec("run-1", 2, false, false));
+    up(checker, A, 4);
+    checker.troublesAreOver();
+    lookForSeconds(91);
+    assertEquals(List.of(), checker.broken());
+    lookForSeconds(1);
+    only(Checker.Rule.IDLE_ROOM);
+  }
+
+  @Test
+  void reportsTheTasksThatWaitBesideRoomWhileOthersRun() {
+    accepted(spec("run-1", 2, false, false));
+    up(checker, A, 4);
+    checker.starts("run-1", 0, A);
+    checker.troublesAreOver();
+    lookForSeconds(95);
+    only(Checker.Rule.IDLE_ROOM);
+  }
+
+  /** No room, a full machine, the wrong zone, a limit that is reached, or a start now and then. */
+  @Test
+  void jobsThatCannotBeginOrDoAreNotLeftWaiting() {
+    up(checker, A, 4);
+    accepted(spec("run-1", 5, false, false));
+    accepted(spec("run-2", 3, true, false));
+    up(checker, B, 2);
+    checker.starts("run-2", 0, A);
+    accepted(spec("run-3", 1, false, true));
+    checker.starts("run-3", 0, B);
+    checker.machineUp(
+        new Checker.Place("i-4", "small", "b", false), Resources.offered(4, 0, 16), () -> false);
+    checker.machineUp(
+        new Checker.Place("i-5", "small", "b", true), Resources.offered(4, 0, 16), () -> true);
+    checker.starts("run-3", 1, A);
+    checker.troublesAreOver();
+    lookForSeconds(200);
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void aTeamAtItsLimitIsNotLeftWaiting() {
+    Checker.Place c = new Checker.Place("i-6", "large", "a", false);
+    checker.machineUp(c, Resources.offered(30, 0, 64), () -> true);
+    accepted(spec("run-1", 13, false, false));
+    checker.starts("run-1", 0, c);
+    checker.troublesAreOver();
+    lookForSeconds(200);
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void startsNowAndThenAreNoWaiting() {
+    accepted(spec("run-1", 1, false, false));
+    up(checker, A, 4);
+    checker.troublesAreOver();
+    for (int i = 0; i < 4; i++) {
+      lookForSeconds(60);
+      checker.starts("run-1", 0, A);
+      checker.leaves("run-1", 0, A);
+    }
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void countsStartsAfterAConfirmedCancellationByWhenTheyWereOrdered() {
+    accepted(spec("run-1", 1, false, false));
+    checker.cancelAsked("run-1");
+    clock.runUntil(1_000);
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    assertEquals(List.of(), checker.lateStarts());
+    clock.runUntil(3_000);
+    checker.starts("run-1", 0, A, 900);
+    checker.starts("run-1", 1, A, 1_500);
+    assertEquals(
+        List.of(
+            new Checker.LateStart("run-1", 0, -100, 2_000),
+            new Checker.LateStart("run-1", 1, 500, 2_000)),
+        checker.lateStarts());
+    assertEquals(
+        List.of(false, true),
+        checker.lateStarts().stream().map(Checker.LateStart::orderedAfterTheWord).toList());
+    assertEquals(List.of(), checker.broken(), "both may still be gone in time");
+  }
+
+  @Test
+  void reportsACancelledTaskThatGoesOnAfterItsMachineHung() {
+    accepted(spec("run-1", 1, false, false));
+    checker.starts("run-1", 0, A);
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    clock.runUntil(6_000);
+    checker.leaves("run-1", 0, A);
+    clock.runUntil(20_001);
+    checker.look();
+    assertEquals(List.of(), checker.broken(), "its lease is over");
+    checker.goesOn("run-1", 0, A);
+    only(Checker.Rule.RAN_CANCELLED);
+  }
+
+  @Test
+  void reportsATaskThatGoesOnWhereItIsNoLonger() {
+    accepted(spec("run-1", 1, false, false));
+    checker.starts("run-1", 0, A);
+    checker.leaves("run-1", 0, A);
+    checker.starts("run-1", 0, B);
+    checker.goesOn("run-1", 0, B);
+    assertEquals(List.of(), checker.broken());
+    checker.goesOn("run-1", 0, A);
+    only(Checker.Rule.RAN_TWICE);
+  }
+
+  @Test
+  void reportsWhatCanNeverRunAndIsAcceptedAllTheSame() {
+    checker.neverAcceptable("run-1", 422, "fits no machine");
+    checker.told("run-1", 422, "", true, clock.nowMs());
+    checker.told("run-1", 503, "", true, clock.nowMs());
+    checker.told("run-1", 404, "", false, clock.nowMs());
+    assertEquals(List.of(), checker.broken());
+    checker.told("run-1", 201, "queued", true, clock.nowMs());
+    only(Checker.Rule.WRONGLY_ACCEPTED);
+  }
+
+  @Test
+  void reportsTheWrongRefusal() {
+    checker.neverAcceptable("run-1", 400, "lacks a field");
+    checker.told("run-1", 422, "", true, clock.nowMs());
+    only(Checker.Rule.WRONG_STATUS);
+  }
 }
--- a/src/test/java/org/ploverspindle/sim/OddRequests.java
+++ b/src/test/java/org/ploverspindle/sim/OddRequests.java
@@ -75,20 +75,31 @@
     return Cbor.readMap(body).orElseThrow();
   }
 
-  private ObjectNode lacking(ObjectNode body) {
-    body.remove(NEEDED.get(random.nextInt(NEEDED.size())));
-    return body;
+  /** What is wrong with a submission. */
+  private record Mistake(byte[] body, int status, String why) {}
+
+  private Mistake lacking(String uid) {
+    String field = NEEDED.get(random.nextInt(NEEDED.size()));
+    ObjectNode body = good(uid);
+    body.remove(field);
+    return new Mistake(Cbor.write(body), 400, "lacks " + field);
   }
 
-  private ObjectNode hopeless(ObjectNode body) {
-    switch (random.nextInt(5)) {
+  private Mistake hopeless(String uid) {
+    ObjectNode body = good(uid);
+    int which = random.nextInt(5);
+    switch (which) {
       case 0 -> body.put("cores", 17.0);
       case 1 -> body.put("owner", "nobody");
       case 2 -> body.putArray("flavours").add("huge");
       case 3 -> body.put("mem_gb", 65.0);
       default -> body.put("site", "nowhere");
     }
-    return body;
+    return new Mistake(Cbor.write(body), 422, "can never run, " + which);
+  }
+
+  private Mistake mistake(String uid) {
+    return random.nextBoolean() ? lacking(uid) : hopeless(uid);
   }
 
   private String any(List<String> uids) {
@@ -107,25 +118,23 @@
           atAllNodes(i -> w.cancelAt(i, done));
         }
       }
-      case 3 -> refused(freshUid(), 422);
-      case 4 -> refused(freshUid(), 400);
+      case 3, 4 -> refused(freshUid());
       case 5 -> {
         // The id counts, whatever else the body says.
         if (!known.isEmpty()) {
-          byte[] body =
-              Cbor.write(random.nextBoolean() ? lacking(good(known)) : hopeless(good(known)));
+          byte[] body = mistake(known).body();
           atAllNodes(i -> w.submitAt(i, known, body));
         }
       }
       case 6 -> {
         String uid = freshUid();
-        w.checker.neverAcceptable(uid, 404);
+        w.checker.neverAcceptable(uid, 404, "only asked about");
         atAllNodes(i -> w.cancelAt(i, uid));
         atAllNodes(i -> w.askAt(i, uid));
       }
       default -> {
         String uid = freshUid();
-        w.checker.neverAcceptable(uid, 400);
+        w.checker.neverAcceptable(uid, 400, "not a map");
         atAllNodes(i -> w.submitAt(i, uid, uid.getBytes(StandardCharsets.UTF_8)));
       }
     }
@@ -138,10 +147,10 @@
   }
 
   /** Whoever is refused asks all the same: nobody may know such a job. */
-  private void refused(String uid, int status) {
-    byte[] body = Cbor.write(status == 400 ? lacking(good(uid)) : hopeless(good(uid)));
-    w.checker.neverAcceptable(uid, status);
-    atAllNodes(i -> w.submitAt(i, uid, body));
+  private void refused(String uid) {
+    Mistake m = mistake(uid);
+    w.checker.neverAcceptable(uid, m.status(), m.why());
+    atAllNodes(i -> w.submitAt(i, uid, m.body()));
     w.clock.at(random.nextInt(6_000), () -> atAllNodes(i -> w.askAt(i, uid)));
   }
 }
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -606,16 +606,25 @@
   // ---- workers
 
   private SimWorker boot(Checker.Place place) {
-    return new SimWorker(
-        clock,
-        random,
-        settings.workers(),
-        checker,
-        place,
-        specs,
-        this::report,
-        nodes,
-        place.type().equals("small") ? 4 : 16);
+    SimWorker worker =
+        new SimWorker(
+            clock,
+            random,
+            settings.workers(),
+            checker,
+            place,
+            specs,
+            this::report,
+            nodes,
+            place.type().equals("small") ? 4 : 16);
+    cloud.types().stream()
+        .filter(t -> t.name().equals(place.type()))
+        .forEach(t -> checker.machineUp(place, t.size(), () -> isReached(worker)));
+    return worker;
+  }
+
+  private boolean isReached(SimWorker w) {
+    return w.sound() && network.hears(w.host()) && network.speaks(w.host());
   }
 
   private void report(SimWorker from, int to, Report report, long serial) {
