--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -77,6 +77,9 @@
   /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
   public static final int MOST_DIRECT = 48;
 
+  /** Of these so many for stops: launches of pressing jobs have the rest to themselves. */
+  private static final int MOST_DIRECT_STOPS = MOST_DIRECT / 2;
+
   /** What a steward works with, the same in all terms. */
   public record Surroundings(
       Scheduler scheduler,
@@ -318,10 +321,23 @@
       }
     }
     LOG.info("job {} is cancelled with {} tasks out", job.uid(), job.live().size());
+    stopDirectly(job);
     tidy(job);
     planPlacing();
   }
 
+  /** Its machines are told at once, as far as connections allow; all others with their reports. */
+  private void stopDirectly(Job job) {
+    Set<Machine> machines = new LinkedHashSet<>();
+    job.live().forEach(p -> machines.add(p.machine()));
+    for (Machine m : machines) {
+      if (directs >= MOST_DIRECT_STOPS) {
+        return;
+      }
+      desk.directStops(m).ifPresent(d -> send(m, d));
+    }
+  }
+
   /** Drops a job that is over as soon as none of its tasks can be anywhere. */
   private void tidy(Job job) {
     if (job.over() && job.live().isEmpty()) {
--- a/src/main/java/org/ploverspindle/workers/ReportDesk.java
+++ b/src/main/java/org/ploverspindle/workers/ReportDesk.java
@@ -64,7 +64,7 @@
   /** What goes out in answer to a report. */
   public record Reply(long token, List<Order> orders) {}
 
-  /** A launch that may go straight to its machine now, and what it is sent with. */
+  /** Orders that may go straight to their machine now, and what they are sent with. */
   public record Direct(String address, long token, long tenure, List<Order> orders) {}
 
   /** An answer with no orders, which renews the lease. */
@@ -147,6 +147,33 @@
         : Optional.of(new Direct(m.address(), m.fence(), m.tenure(), orders));
   }
 
+  /**
+   * Stops of cancelled jobs' tasks, to go straight to their machine: until its next report they
+   * would run on, or even begin, for nobody. Executed late or twice they do no harm, whoever leads
+   * by then, as a cancellation is never taken back; that a launch still in flight comes after them
+   * is seen in the next report.
+   */
+  public Optional<Direct> directStops(Machine m) {
+    if (!m.hears() || m.address().isEmpty() || !mayLaunch.get()) {
+      return Optional.empty();
+    }
+    List<Order> orders = new ArrayList<>();
+    int bytes = 40;
+    for (Placement p : m.placements()) {
+      Order stop = new Order.Stop(p.job().uid(), p.task(), p.attempt(), 0);
+      if (p.job().cancelled()
+          && !p.neverSent()
+          && p.tenure() == m.tenure()
+          && bytes + ReportCodec.size(stop) <= ReportCodec.MAX_ORDER_BYTES) {
+        bytes += ReportCodec.size(stop);
+        orders.add(stop);
+      }
+    }
+    return orders.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new Direct(m.address(), m.fence(), m.tenure(), orders));
+  }
+
   /**
    * What can be ordered by now in answer to a report that was taken before: what has become durable
    * since. Nothing when a newer report came, as its answer is the one that counts.
