A job has effective urgency, due time and readiness, which placing goes by

A job of a pipeline may have to press more than its user said, since deadline and priority are set on the last job only; and while it awaits others it must not age. Placing, preemption, triage, renting and the aims now ask the job, not its spec. Multiples of its own due time count from acceptance, all other times from readiness. The last multiple that counts for the jobs that need it is kept as a second chance, as the multiples of its own class are. For jobs that no pipeline touches all figures are the same; a test compares them with the old formulas.

--- a/src/main/java/org/ploverspindle/jobs/Job.java
+++ b/src/main/java/org/ploverspindle/jobs/Job.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.ploverspindle.workers.Placement;
 
@@ -37,6 +39,11 @@
   private boolean cancelled;
   private boolean finished;
   private boolean blocked;
+  private boolean awaiting;
+  private long sinceWallMs;
+  private Urgency urgency;
+  private OptionalLong latestFinishWallMs = OptionalLong.empty();
+  private OptionalLong lastChanceWallMs = OptionalLong.empty();
 
   /**
    * @param types allowed machine types by index; those that a task fits
@@ -58,6 +65,8 @@
     this.types = types;
     this.zone = zone;
     this.liveInZone = new int[zoneCount];
+    this.sinceWallMs = acceptedWallMs;
+    this.urgency = spec.urgency();
     waiting.set(0, spec.tasks());
   }
 
@@ -93,6 +102,83 @@
     return acceptedWallMs;
   }
 
+  /**
+   * When it could first run: its acceptance, or the end of the last job that it awaited. Waits,
+   * patience and its turn under a guarantee count from here; due times count from the acceptance.
+   */
+  public long sinceWallMs() {
+    return sinceWallMs;
+  }
+
+  /** How urgent it is: as its user says, or as any job that needs it. */
+  public Urgency urgency() {
+    return urgency;
+  }
+
+  /**
+   * When it is due, in seconds from {@link #sinceWallMs}: by its own due time, or earlier if the
+   * jobs that need it are due. Negative if that was over before it could run.
+   */
+  public OptionalDouble dueS() {
+    return latestFinishWallMs.isPresent()
+        ? OptionalDouble.of((latestFinishWallMs.getAsLong() - sinceWallMs) / 1000.0)
+        : ownDueS(1);
+  }
+
+  /** The same for the last multiple of due times that counts for the jobs that need it. */
+  public OptionalDouble lastChanceS() {
+    return lastChanceWallMs.isPresent()
+        ? OptionalDouble.of((lastChanceWallMs.getAsLong() - sinceWallMs) / 1000.0)
+        : OptionalDouble.empty();
+  }
+
+  /** A multiple of its own due time, counted from its acceptance, in seconds from readiness. */
+  public OptionalDouble ownDueS(double times) {
+    return spec.dueS().isPresent()
+        ? OptionalDouble.of(
+            spec.dueS().getAsDouble() * times - (sinceWallMs - acceptedWallMs) / 1000.0)
+        : OptionalDouble.empty();
+  }
+
+  /** All that it awaited is done. */
+  public void readySince(long wallMs) {
+    awaiting = false;
+    sinceWallMs = wallMs;
+  }
+
+  /**
+   * Records say that tasks of it are out, though what it awaits is not done: they count until they
+   * are gone, and none is started.
+   */
+  public void await() {
+    awaiting = true;
+  }
+
+  public boolean awaiting() {
+    return awaiting;
+  }
+
+  /**
+   * What the jobs that need it make of it; its own values where no other presses more.
+   *
+   * @param latestFinish by when it must be done, so that all that need it can be done when due
+   * @param lastChance the same for the last multiples of their due times that count
+   */
+  public void passedBack(Urgency mostUrgent, OptionalLong latestFinish, OptionalLong lastChance) {
+    urgency = mostUrgent.compareTo(spec.urgency()) < 0 ? mostUrgent : spec.urgency();
+    latestFinishWallMs = beforeOwn(latestFinish);
+    lastChanceWallMs = latestFinishWallMs.isPresent() ? lastChance : OptionalLong.empty();
+  }
+
+  private OptionalLong beforeOwn(OptionalLong wallMs) {
+    boolean earlier =
+        wallMs.isPresent()
+            && (spec.dueS().isEmpty()
+                || wallMs.getAsLong()
+                    < acceptedWallMs + Math.round(spec.dueS().getAsDouble() * 1000));
+    return earlier ? wallMs : OptionalLong.empty();
+  }
+
   public BitSet types() {
     return types;
   }
@@ -283,7 +369,7 @@
 
   /** How many of its waiting tasks may be put on machines now. */
   public int openTasks(long nowMs) {
-    if (waiting.isEmpty()) {
+    if (waiting.isEmpty() || awaiting) {
       return 0;
     }
     if (works(nowMs) || spec.shape() == Shape.GANG && !held(nowMs)) {
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -288,20 +288,20 @@
     arrivals.came(wallMs);
     if (with.scheduler().wallMs() - wallMs < REMEMBERED_MS) {
       SpecRecord.decode(spec.uid(), spec.value())
-          .ifPresent(r -> arrivals.work(r.spec(), r.acceptedWallMs()));
+          .ifPresent(r -> arrivals.work(r.spec(), r.spec().dueS(), r.acceptedWallMs()));
     }
   }
 
   private void arrived(Job job) {
-    arrivals.came(job.acceptedWallMs());
-    arrivals.work(job.spec(), job.acceptedWallMs());
+    arrivals.came(job.sinceWallMs());
+    arrivals.work(job.spec(), job.dueS(), job.sinceWallMs());
     Resources whole =
         new Resources(
             job.perTask().cores() * job.spec().tasks(),
             job.perTask().accelerators() * job.spec().tasks(),
             0);
-    if (job.spec().urgency().compareTo(Urgency.HIGH) <= 0
-        || teams.guarantees(job.team(), whole) && job.spec().dueS().isEmpty()) {
+    if (job.urgency().compareTo(Urgency.HIGH) <= 0
+        || teams.guarantees(job.team(), whole) && job.dueS().isEmpty()) {
       arrivals.pressing(job);
     }
   }
@@ -419,8 +419,7 @@
   private void launchDirectly(List<Placement> placements) {
     Set<Machine> machines = new LinkedHashSet<>();
     for (Placement p : placements) {
-      if (p.phase() == Placement.Phase.READY
-          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+      if (p.phase() == Placement.Phase.READY && p.job().urgency().compareTo(Urgency.HIGH) <= 0) {
         machines.add(p.machine());
       }
     }
@@ -671,14 +670,14 @@
     public void moved(Placement p) {
       if (LOG.isDebugEnabled()
           && p.phase() == Placement.Phase.RUNNING
-          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+          && p.job().urgency().compareTo(Urgency.HIGH) <= 0) {
         // For people who ask why a pressing task waited.
         long now = with.scheduler().nowMs();
         LOG.debug(
-            "{}/{} runs {} ms after its acceptance; {} ms after its record, {} ms after its launch",
+            "{}/{} runs {} ms after it could first; {} ms after its record, {} ms after its launch",
             p.job().uid(),
             p.task(),
-            with.scheduler().wallMs() - p.job().acceptedWallMs(),
+            with.scheduler().wallMs() - p.job().sinceWallMs(),
             now - p.recordedMs(),
             now - p.sentMs());
       }
--- a/src/main/java/org/ploverspindle/placement/Aims.java
+++ b/src/main/java/org/ploverspindle/placement/Aims.java
@@ -36,20 +36,20 @@
   }
 
   /**
-   * By when, in seconds from its submission, a job must start: for its due time, for each multiple
-   * of it that its class's aims name, for starting within a time, and for being done within one.
-   * The earliest that is not before {@code atLeastS}; empty when all are.
+   * By when, in seconds from when it could first run, a job must start: for its due time or that of
+   * jobs that need it, for each multiple of its own that its class's aims name, for starting within
+   * a time, and for being done within one. The earliest that is not before {@code atLeastS}; empty
+   * when all are.
    *
    * @param runS how long its tasks run
    */
   OptionalDouble startByS(Job job, double runS, double atLeastS) {
     double best = Double.MAX_VALUE;
-    if (job.spec().dueS().isPresent()) {
-      double dueS = job.spec().dueS().getAsDouble();
-      best = earlier(best, dueS - runS, atLeastS);
-      for (double times : of(dueTimes, job)) {
-        best = earlier(best, dueS * times - runS, atLeastS);
-      }
+    best = earlier(best, job.dueS(), runS, atLeastS);
+    best = earlier(best, job.lastChanceS(), runS, atLeastS);
+    best = earlier(best, job.ownDueS(1), runS, atLeastS);
+    for (double times : of(dueTimes, job)) {
+      best = earlier(best, job.ownDueS(times), runS, atLeastS);
     }
     for (double withinS : of(finishWithinS, job)) {
       best = earlier(best, withinS - runS, atLeastS);
@@ -62,6 +62,10 @@
     return best == Double.MAX_VALUE ? OptionalDouble.empty() : OptionalDouble.of(best);
   }
 
+  private static double earlier(double best, OptionalDouble dueS, double runS, double atLeastS) {
+    return dueS.isPresent() ? earlier(best, dueS.getAsDouble() - runS, atLeastS) : best;
+  }
+
   private static double earlier(double best, double startByS, double atLeastS) {
     return startByS >= atLeastS ? Math.min(best, startByS) : best;
   }
@@ -71,8 +75,8 @@
   }
 
   /**
-   * Within how many seconds of its submission a job's last task should have started; empty when
-   * nobody says, or only that it should start at once.
+   * Within how many seconds of when it could first run a job's last task should have started; empty
+   * when nobody says, or only that it should start at once.
    */
   OptionalDouble lastStartS(Job job) {
     return of(startWithinS, job).stream()
@@ -81,6 +85,13 @@
         .min();
   }
 
+  /** The last multiple of its due time that counts for the class; 1 if none is named. */
+  public double lastMultiple(String jobClass) {
+    return dueTimes.getOrDefault(jobClass, List.of()).stream()
+        .mapToDouble(Double::doubleValue)
+        .reduce(1, Math::max);
+  }
+
   /** Should its tasks start at once? */
   public boolean prompt(Job job) {
     return of(startWithinS, job).stream().anyMatch(s -> s <= PROMPT_S);
--- a/src/main/java/org/ploverspindle/placement/Arrivals.java
+++ b/src/main/java/org/ploverspindle/placement/Arrivals.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.ploverspindle.jobs.Job;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Shape;
@@ -35,18 +36,22 @@
   private final Deque<Long> times = new ArrayDeque<>();
   private final Deque<Job> pressing = new ArrayDeque<>();
 
-  public void came(long acceptedWallMs) {
-    times.addLast(acceptedWallMs);
+  public void came(long wallMs) {
+    times.addLast(wallMs);
     if (times.size() > KEPT) {
       times.removeFirst();
     }
   }
 
-  /** What came, for the rate of work; only what is due soon counts. */
-  public void work(JobSpec spec, long acceptedWallMs) {
-    if (spec.shape() == Shape.BATCH && spec.dueS().orElse(Double.MAX_VALUE) <= SHORT_WINDOW_S) {
+  /**
+   * What came, for the rate of work; only what is due soon counts.
+   *
+   * @param dueS when it is due, in seconds from when it came
+   */
+  public void work(JobSpec spec, OptionalDouble dueS, long wallMs) {
+    if (spec.shape() == Shape.BATCH && dueS.orElse(Double.MAX_VALUE) <= SHORT_WINDOW_S) {
       double coreSeconds = spec.tasks() * spec.perTask().cores() * spec.expectedS();
-      recent.addLast(new Came(acceptedWallMs, spec.jobClass(), coreSeconds));
+      recent.addLast(new Came(wallMs, spec.jobClass(), coreSeconds));
     }
   }
 
--- a/src/main/java/org/ploverspindle/placement/Demand.java
+++ b/src/main/java/org/ploverspindle/placement/Demand.java
@@ -289,11 +289,11 @@
    * come too late without them: work that can wait waits for cheap ones.
    */
   private double horizonS(Job job, boolean guaranteed, long wallMs, boolean dear) {
-    if (guaranteed || job.spec().dueS().isEmpty()) {
+    if (guaranteed || job.dueS().isEmpty()) {
       return drainS;
     }
-    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
-    double leftS = job.spec().dueS().getAsDouble() - waitedS;
+    double waitedS = (wallMs - job.sinceWallMs()) / 1000.0;
+    double leftS = job.dueS().getAsDouble() - waitedS;
     double horizonS = leftS < drainS ? leftS : Math.max(drainS, leftS * (dear ? DEAR_WINDOW : 0.5));
     OptionalDouble lastStartS = aims.lastStartS(job);
     double startLeftS = lastStartS.orElse(0) - waitedS;
@@ -310,8 +310,8 @@
     Set<Job> covered = new HashSet<>();
     Map<Integer, Resources> asked = new HashMap<>();
     all.stream()
-        .filter(j -> !j.over())
-        .sorted(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid))
+        .filter(j -> !j.over() && !j.awaiting())
+        .sorted(Comparator.comparingLong(Job::sinceWallMs).thenComparing(Job::uid))
         .forEach(
             j -> {
               // What fails everywhere must not use up what its team is guaranteed.
@@ -388,8 +388,8 @@
     Optional<Job> like =
         all.stream()
             .filter(j -> !j.over() && j.spec().shape() == Shape.BATCH)
-            .filter(j -> j.spec().dueS().orElse(Double.MAX_VALUE) <= Arrivals.SHORT_WINDOW_S)
-            .max(Comparator.comparingLong(Job::acceptedWallMs).thenComparing(Job::uid));
+            .filter(j -> j.dueS().orElse(Double.MAX_VALUE) <= Arrivals.SHORT_WINDOW_S)
+            .max(Comparator.comparingLong(Job::sinceWallMs).thenComparing(Job::uid));
     double left = missing;
     while (like.isPresent() && left > 0) {
       Optional<OpenOffer> offer = cheapest(like.get(), Integer.MAX_VALUE, true);
--- a/src/main/java/org/ploverspindle/placement/Placer.java
+++ b/src/main/java/org/ploverspindle/placement/Placer.java
@@ -34,7 +34,7 @@
   private record Ranked(Job job, boolean beyondGuarantee, double slackS) {
     static final Comparator<Ranked> ORDER =
         (a, b) -> {
-          int byUrgency = a.job.spec().urgency().compareTo(b.job.spec().urgency());
+          int byUrgency = a.job.urgency().compareTo(b.job.urgency());
           if (byUrgency != 0) {
             return byUrgency;
           }
@@ -166,8 +166,8 @@
 
   /** Seconds until the job must run to be done when due; those without a due time come last. */
   double slackS(Job job, long wallMs) {
-    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
-    return job.spec().dueS().orElse(1e6) - waitedS - estimates.runS(job);
+    double waitedS = (wallMs - job.sinceWallMs()) / 1000.0;
+    return job.dueS().orElse(1e6) - waitedS - estimates.runS(job);
   }
 
   /**
@@ -177,14 +177,12 @@
    */
   OptionalDouble openSlackS(Job job, long wallMs) {
     double runS = estimates.runS(job);
-    double waitedS = (wallMs - job.acceptedWallMs()) / 1000.0;
+    double waitedS = (wallMs - job.sinceWallMs()) / 1000.0;
     OptionalDouble byS = aims.startByS(job, runS, waitedS - DOUBT * runS - 2);
     if (byS.isPresent()) {
       return OptionalDouble.of(byS.getAsDouble() - waitedS);
     }
-    return job.spec().dueS().isPresent()
-        ? OptionalDouble.empty()
-        : OptionalDouble.of(slackS(job, wallMs));
+    return job.dueS().isPresent() ? OptionalDouble.empty() : OptionalDouble.of(slackS(job, wallMs));
   }
 
   public void run(long nowMs, long wallMs) {
@@ -209,9 +207,9 @@
 
   /** There is time until it must start, and nobody expects it to start at once. */
   private boolean mayWait(Job job, long wallMs) {
-    return job.spec().urgency().compareTo(Urgency.HIGH) > 0
+    return job.urgency().compareTo(Urgency.HIGH) > 0
         && !aims.prompt(job)
-        && job.spec().dueS().isPresent()
+        && job.dueS().isPresent()
         && slackS(job, wallMs) > MAY_WAIT_S;
   }
 
@@ -239,7 +237,7 @@
   private void servePatient(List<Job> waiting, List<Machine> withRoom, long nowMs, long wallMs) {
     List<Job> patient = new ArrayList<>();
     for (Job job : waiting) {
-      if (starves(job, wallMs) || wallMs - job.acceptedWallMs() > AGED_MS) {
+      if (starves(job, wallMs) || wallMs - job.sinceWallMs() > AGED_MS) {
         patient.add(job);
       }
     }
@@ -256,7 +254,7 @@
     }
     patient.sort(
         Comparator.comparing((Job j) -> !starves(j, wallMs))
-            .thenComparingDouble(j -> starves(j, wallMs) ? -work(j) : j.acceptedWallMs())
+            .thenComparingDouble(j -> starves(j, wallMs) ? -work(j) : j.sinceWallMs())
             .thenComparing(Job::uid));
     for (Job job : patient) {
       double each = Math.max(1, job.perTask().cores());
@@ -281,9 +279,7 @@
 
   /** Nothing of it has begun for too long. */
   static boolean starves(Job job, long wallMs) {
-    return job.live().isEmpty()
-        && job.done().isEmpty()
-        && wallMs - job.acceptedWallMs() > PATIENCE_MS;
+    return job.live().isEmpty() && job.done().isEmpty() && wallMs - job.sinceWallMs() > PATIENCE_MS;
   }
 
   /** Makes room for pressing jobs that found none; says how many tasks are stopped for them. */
--- a/src/main/java/org/ploverspindle/placement/Preemption.java
+++ b/src/main/java/org/ploverspindle/placement/Preemption.java
@@ -79,7 +79,7 @@
           job.perTask(),
           job.types(),
           job.spec().spot(),
-          job.spec().urgency(),
+          job.urgency(),
           job.team(),
           within,
           bound ? Optional.of(job.uid()) : Optional.empty());
@@ -92,7 +92,7 @@
         waiting.stream()
             .filter(
                 j ->
-                    j.spec().urgency().compareTo(Urgency.HIGH) <= 0
+                    j.urgency().compareTo(Urgency.HIGH) <= 0
                         || teams.withinGuarantee(j.team(), j.perTask()))
             .toList();
     if (pressing.isEmpty()) {
@@ -193,7 +193,7 @@
 
   private boolean mayStop(Job job, Placement p, boolean within, long nowMs) {
     Job other = p.job();
-    boolean lower = other.spec().urgency().compareTo(job.spec().urgency()) > 0;
+    boolean lower = other.urgency().compareTo(job.urgency()) > 0;
     boolean borrowed =
         within
             && other.team() != job.team()
@@ -213,7 +213,7 @@
    * just begun is the best to stop, as the least work is lost with it.
    */
   private boolean startMatters(Job job) {
-    return aims.prompt(job) || job.spec().urgency().compareTo(Urgency.HIGH) <= 0;
+    return aims.prompt(job) || job.urgency().compareTo(Urgency.HIGH) <= 0;
   }
 
   private static double ranS(Placement p, long nowMs) {
--- a/src/main/java/org/ploverspindle/placement/Triage.java
+++ b/src/main/java/org/ploverspindle/placement/Triage.java
@@ -54,8 +54,7 @@
     Map<Integer, Double> teamBefore = new HashMap<>();
     for (int from = 0; from < byStart.size(); ) {
       int to = from;
-      while (to < byStart.size()
-          && byStart.get(to).spec().urgency() == byStart.get(from).spec().urgency()) {
+      while (to < byStart.size() && byStart.get(to).urgency() == byStart.get(from).urgency()) {
         to++;
       }
       List<Job> inTime = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/org/ploverspindle/placement/EffectiveValuesTest.java
@@ -0,0 +1,207 @@
+package org.ploverspindle.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.NoNews;
+import org.ploverspindle.Specs;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.JobTable;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.leadership.Term;
+import org.ploverspindle.leadership.Timing;
+import org.ploverspindle.loop.EventLoop;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.SpecRecord;
+import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Report;
+import org.ploverspindle.workers.ReportDesk;
+
+/** What placing goes by: a job's own values, as ever, unless jobs that need it press more. */
+class EffectiveValuesTest {
+  private static final long ACCEPTED = 5_000_000;
+  private static final List<Settings.Objective> AIMS =
+      List.of(
+          new Settings.Objective("deadline", "c", 0.9, 1.5, 0),
+          new Settings.Objective("deadline", "c", 0.9, 2, 0),
+          new Settings.Objective("wait", "c", 0.9, 1, 70),
+          new Settings.Objective("wait", "d", 0.9, 1, 1),
+          new Settings.Objective("finished", "d", 0.9, 1, 300));
+
+  private final Catalogue catalogue = new Catalogue(List.of("a"));
+  private final TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
+  private final Estimates estimates = new Estimates();
+  private final JobTable jobs;
+  private final Placer placer;
+
+  EffectiveValuesTest() {
+    catalogue.update(
+        List.of(
+            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
+    Replica none = new Replica(new EventLoop(), null, "x/", 700);
+    jobs = new JobTable(none, new SpecIndex(none), catalogue, teams);
+    Term term = new Term(7, 1, 0);
+    Fleet fleet =
+        new Fleet(catalogue, teams, Timing.of(new Settings.WorkerLimits(3, 14, 39), 1), term);
+    new ReportDesk(
+            fleet,
+            term,
+            () -> true,
+            u -> Optional.empty(),
+            u -> Optional.empty(),
+            (j, t) -> false,
+            new NoNews())
+        .take(
+            new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()),
+            ACCEPTED);
+    placer =
+        new Placer(
+            catalogue, fleet, jobs, teams, estimates, () -> 1, new Aims(AIMS), 60_000, p -> {});
+  }
+
+  private static Job job(JobSpec spec) {
+    return new Job(spec, ACCEPTED, 80, 0, new BitSet(), -1, 1);
+  }
+
+  private static JobSpec random(Random r, int i) {
+    return Specs.batch(
+        "run-" + i,
+        r.nextBoolean() ? "c" : "d",
+        "red",
+        Urgency.values()[r.nextInt(4)],
+        1 + r.nextInt(9),
+        1,
+        1,
+        1 + r.nextDouble() * 90,
+        r.nextInt(3) == 0 ? 0 : 10 + r.nextDouble() * 300);
+  }
+
+  /** The formula for jobs that no pipeline touches, by what the user said and nothing else. */
+  private static OptionalDouble plainOpenSlackS(JobSpec s, double runS, long wallMs) {
+    double waitedS = (wallMs - ACCEPTED) / 1000.0;
+    List<Double> startBy = new ArrayList<>();
+    if (s.dueS().isPresent()) {
+      startBy.add(s.dueS().getAsDouble() - runS);
+      for (double times : s.jobClass().equals("c") ? List.of(1.5, 2.0) : List.<Double>of()) {
+        startBy.add(s.dueS().getAsDouble() * times - runS);
+      }
+    }
+    startBy.add(s.jobClass().equals("c") ? 70 : 300 - runS);
+    OptionalDouble first =
+        startBy.stream()
+            .filter(by -> by >= waitedS - 0.4 * runS - 2)
+            .mapToDouble(Double::doubleValue)
+            .min();
+    if (first.isPresent()) {
+      return OptionalDouble.of(first.getAsDouble() - waitedS);
+    }
+    return s.dueS().isPresent() ? first : OptionalDouble.of(1e6 - waitedS - runS);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void whatNoPipelineTouchesCountsAsItsUserSaid(long seed) {
+    Random r = new Random(seed);
+    for (int i = 0; i < 200; i++) {
+      JobSpec spec = random(r, i);
+      Job job = job(spec);
+      if (r.nextBoolean()) {
+        // In a pipeline whose other jobs ask for nothing more.
+        OptionalLong own =
+            spec.dueS().isPresent()
+                ? OptionalLong.of(ACCEPTED + Math.round(spec.dueS().getAsDouble() * 1000))
+                : OptionalLong.empty();
+        job.passedBack(Urgency.BEST_EFFORT, own, own);
+      }
+      double runS = spec.expectedS();
+      long wall = ACCEPTED + r.nextInt(700_000);
+      assertEquals(spec.urgency(), job.urgency());
+      assertEquals(spec.dueS(), job.dueS());
+      assertEquals(ACCEPTED, job.sinceWallMs());
+      assertEquals(
+          spec.dueS().orElse(1e6) - (wall - ACCEPTED) / 1000.0 - runS, placer.slackS(job, wall));
+      assertEquals(plainOpenSlackS(spec, runS, wall), placer.openSlackS(job, wall));
+      assertEquals(wall - ACCEPTED > 90_000, Placer.starves(job, wall));
+    }
+  }
+
+  @Test
+  void dueTimesCountFromAcceptanceAndAllElseFromReadiness() {
+    Job job = job(Specs.batch("run-1", "c", "red", Urgency.NORMAL, 2, 1, 1, 20, 100));
+    job.readySince(ACCEPTED + 60_000);
+    Aims aims = new Aims(AIMS);
+    assertEquals(OptionalDouble.of(40), job.dueS());
+    assertEquals(OptionalDouble.of(20), aims.startByS(job, 20, 0));
+    assertEquals(
+        OptionalDouble.of(70), aims.startByS(job, 20, 21), "a start counts from readiness");
+    assertEquals(OptionalDouble.of(120), aims.startByS(job, 20, 71), "twice the due time does not");
+    assertEquals(15, placer.slackS(job, ACCEPTED + 65_000));
+    assertTrue(!Placer.starves(job, ACCEPTED + 149_000), "nobody ages while it waits for others");
+    assertTrue(Placer.starves(job, ACCEPTED + 151_000));
+  }
+
+  @Test
+  void jobsThatNeedItMakeItPressMoreNeverLess() {
+    Job job = job(Specs.batch("run-1", "d", "red", Urgency.NORMAL, 2, 1, 1, 20, 100));
+    job.passedBack(
+        Urgency.HIGH, OptionalLong.of(ACCEPTED + 60_000), OptionalLong.of(ACCEPTED + 90_000));
+    Aims aims = new Aims(List.of());
+    assertEquals(Urgency.HIGH, job.urgency());
+    assertEquals(OptionalDouble.of(60), job.dueS());
+    assertEquals(OptionalDouble.of(40), aims.startByS(job, 20, 0));
+    assertEquals(OptionalDouble.of(70), aims.startByS(job, 20, 41), "their last multiple is next");
+    assertEquals(OptionalDouble.of(80), aims.startByS(job, 20, 71), "then its own due time");
+    job.passedBack(Urgency.BEST_EFFORT, OptionalLong.of(ACCEPTED + 160_000), OptionalLong.empty());
+    assertEquals(Urgency.NORMAL, job.urgency());
+    assertEquals(OptionalDouble.of(100), job.dueS());
+    assertEquals(OptionalDouble.empty(), job.lastChanceS());
+  }
+
+  @Test
+  void thePassedBackUrgencyAndDueTimeOrderTheWork() {
+    List<Job> waiting = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      JobSpec spec = Specs.batch("run-" + i, "e", "red", Urgency.NORMAL, 2, 1, 1, 20, 0);
+      JobSpec low = Specs.batch("run-" + i, "e", "red", Urgency.BEST_EFFORT, 2, 1, 1, 20, 0);
+      jobs.add(
+              new SpecIndex.Spec(
+                  "run-" + i, new SpecRecord(i < 2 ? spec : low, ACCEPTED, 50).encode(), i, "k"))
+          .ifPresent(waiting::add);
+    }
+    waiting
+        .get(3)
+        .passedBack(Urgency.HIGH, OptionalLong.of(ACCEPTED + 90_000), OptionalLong.empty());
+    waiting
+        .get(1)
+        .passedBack(Urgency.NORMAL, OptionalLong.of(ACCEPTED + 90_000), OptionalLong.empty());
+    assertEquals(
+        List.of("run-3", "run-1", "run-0", "run-2"),
+        placer.waitingJobs(ACCEPTED, ACCEPTED).stream().map(Job::uid).toList());
+  }
+
+  @Test
+  void whatIsOutThoughOthersAreNotDoneCountsAndNothingElseOfItStarts() {
+    Job job = job(Specs.batch("run-1", "c", "red", Urgency.NORMAL, 2, 1, 1, 20, 0));
+    job.await();
+    assertEquals(0, job.openTasks(0));
+    job.readySince(ACCEPTED + 1);
+    assertEquals(2, job.openTasks(0));
+  }
+}
