--- /dev/null
+++ b/src/main/java/org/ploverspindle/pipelines/CriticalPath.java
@@ -0,0 +1,86 @@
+package org.ploverspindle.pipelines;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.pipelines.DependencyGraph.Vertex;
+
+/**
+ * The backward pass of the critical path method: users give only the last job of a pipeline its
+ * deadline and priority, and from these follows when each job before it must be finished, and how
+ * urgent it is. Worked out anew from the graph each time, so that a dependent that comes late has
+ * its effect, and one that is aborted has none any more.
+ */
+public final class CriticalPath {
+  /**
+   * A job by itself.
+   *
+   * @param latestFinishMs time of day in milliseconds
+   * @param runS estimate of its run time
+   */
+  public record Own(OptionalLong latestFinishMs, Urgency urgency, double runS) {}
+
+  /** A job with what its dependents ask of it. */
+  public record PassedBack(OptionalLong latestFinishMs, Urgency urgency) {}
+
+  private CriticalPath() {}
+
+  /**
+   * For every job of the graph that is neither done nor aborted.
+   *
+   * @param jobs empty for a job whose record can't be read, which passes on what it is asked
+   */
+  public static Map<String, PassedBack> of(
+      DependencyGraph graph, Function<String, Optional<Own>> jobs) {
+    List<Vertex> vertices = graph.vertices();
+    int[] waitingFor = new int[vertices.size()];
+    Deque<Vertex> work = new ArrayDeque<>();
+    for (Vertex v : vertices) {
+      if (counts(v)) {
+        for (Vertex d : v.dependents) {
+          waitingFor[v.index] += counts(d) ? 1 : 0;
+        }
+        if (waitingFor[v.index] == 0) {
+          work.add(v);
+        }
+      }
+    }
+    Map<String, PassedBack> passed = new HashMap<>();
+    double[] latestStartMs = new double[vertices.size()];
+    while (!work.isEmpty()) {
+      Vertex v = work.poll();
+      Own own = jobs.apply(v.uid).orElse(new Own(OptionalLong.empty(), Urgency.BEST_EFFORT, 0));
+      double latestMs = own.latestFinishMs().isPresent() ? own.latestFinishMs().getAsLong() : NEVER;
+      Urgency urgency = own.urgency();
+      for (Vertex d : v.dependents) {
+        if (counts(d)) {
+          latestMs = Math.min(latestMs, latestStartMs[d.index]);
+          Urgency theirs = passed.get(d.uid).urgency();
+          urgency = theirs.compareTo(urgency) < 0 ? theirs : urgency;
+        }
+      }
+      latestStartMs[v.index] = latestMs - 1000 * own.runS();
+      OptionalLong latest =
+          latestMs == NEVER ? OptionalLong.empty() : OptionalLong.of(Math.round(latestMs));
+      passed.put(v.uid, new PassedBack(latest, urgency));
+      for (Vertex d : v.dependencies) {
+        if (counts(d) && --waitingFor[d.index] == 0) {
+          work.add(d);
+        }
+      }
+    }
+    return passed;
+  }
+
+  private static final double NEVER = Double.POSITIVE_INFINITY;
+
+  private static boolean counts(Vertex v) {
+    return !v.done && !v.aborted;
+  }
+}
