Records of what a job awaits, and the graph over every controller's copy

A job that awaits nothing is stored as it always was, to the letter. A list stands in the job's own record, or, when that would not fit a value, in parts under ps1/a/ whose name follows from their content: a repeat at any node goes on where another ended. Keys under a/ come before the jobs' own, so that a load reads lists first; a job whose parts are not all read is neither ready nor aborted.

--- a/src/main/java/org/ploverspindle/front/SubmissionCodec.java
+++ b/src/main/java/org/ploverspindle/front/SubmissionCodec.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Shape;
@@ -97,7 +99,8 @@
         amount("expected_s"),
         amount("save_every_s"),
         amount("save_cost_s"),
-        absent("due_s") ? OptionalDouble.empty() : OptionalDouble.of(amount("due_s")));
+        absent("due_s") ? OptionalDouble.empty() : OptionalDouble.of(amount("due_s")),
+        uids("awaits"));
   }
 
   private boolean absent(String field) {
@@ -133,6 +136,24 @@
     return n.asBoolean();
   }
 
+  /** Ids of jobs, each once however often it is named. */
+  private List<String> uids(String field) throws Malformed {
+    if (absent(field)) {
+      return List.of();
+    }
+    if (!body.path(field).isArray()) {
+      throw new Malformed(field);
+    }
+    Set<String> uids = new LinkedHashSet<>();
+    for (JsonNode n : body.path(field)) {
+      if (!n.isTextual() || !validUid(n.asText())) {
+        throw new Malformed(field);
+      }
+      uids.add(n.asText());
+    }
+    return List.copyOf(uids);
+  }
+
   private Optional<List<String>> names(String field) throws Malformed {
     if (absent(field)) {
       return Optional.empty();
--- a/src/main/java/org/ploverspindle/jobs/JobSpec.java
+++ b/src/main/java/org/ploverspindle/jobs/JobSpec.java
@@ -4,7 +4,13 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 
-/** What a user asked for; never changes. */
+/**
+ * What a user asked for; never changes.
+ *
+ * @param dependencies jobs that must be done before any task of this one starts, each once. A list
+ *     too long for the job's own record is not here when the job is read back: who needs to know
+ *     what a job awaits asks the graph of all jobs.
+ */
 public record JobSpec(
     String uid,
     String jobClass,
@@ -25,7 +31,8 @@
     double expectedS,
     double saveEveryS,
     double saveCostS,
-    OptionalDouble dueS) {
+    OptionalDouble dueS,
+    List<String> dependencies) {
 
   public static final int MAX_TASKS = 100_000;
 
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -26,6 +26,7 @@
 import org.ploverspindle.loop.DutyTimes;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.placement.Aims;
 import org.ploverspindle.placement.Arrivals;
 import org.ploverspindle.placement.Demand;
@@ -83,6 +84,7 @@
       StateStore store,
       Replica replica,
       SpecIndex specs,
+      Pipelines pipelines,
       CloudApi cloud,
       WorkerLine workers,
       Catalogue catalogue,
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -16,6 +16,7 @@
 import org.ploverspindle.loop.Scope;
 import org.ploverspindle.peers.PeerRecord;
 import org.ploverspindle.peers.Peers;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
@@ -90,6 +91,7 @@
             Math.max(1, settings.stateLimits().writeRps() * ACCEPTING_SHARE),
             Math.max(3, settings.stateLimits().writeRps() * ACCEPTING_SHARE));
     SpecIndex specs = new SpecIndex(replica);
+    Pipelines pipelines = new Pipelines(loop, replica, specs);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
     this.intake =
@@ -106,8 +108,8 @@
             this::changedForLeader);
     this.surroundings =
         new Steward.Surroundings(
-            loop, store, replica, specs, cloud, workers, catalogue, settings, policy, timing,
-            random, writes);
+            loop, store, replica, specs, pipelines, cloud, workers, catalogue, settings, policy,
+            timing, random, writes);
   }
 
   /** What was written here is news for whoever leads. */
--- /dev/null
+++ b/src/main/java/org/ploverspindle/pipelines/Pipelines.java
@@ -0,0 +1,113 @@
+package org.ploverspindle.pipelines;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.state.AwaitsRecord;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.SpecRecord;
+import org.ploverspindle.state.StateStore.Entry;
+
+/** The dependency graph over this node's copy, on every controller: users' answers need it too. */
+public final class Pipelines {
+  private final Replica replica;
+  private final DependencyGraph graph;
+  private final Map<String, Long> readyWallMs = new HashMap<>();
+
+  /** Jobs whose lists are not all read yet, by the lists' names. */
+  private final Map<String, SpecIndex.Spec> incomplete = new HashMap<>();
+
+  public Pipelines(Scheduler scheduler, Replica replica, SpecIndex specs) {
+    this.replica = replica;
+    this.graph =
+        new DependencyGraph(
+            uid -> replica.get(Keys.done(uid)).isPresent(),
+            uid -> replica.get(Keys.cancel(uid)).isPresent());
+    graph.listen(
+        new DependencyGraph.Listener() {
+          @Override
+          public void ready(String uid) {
+            readyWallMs.put(uid, scheduler.wallMs());
+          }
+
+          @Override
+          public void aborted(String uid) {}
+        });
+    specs.listen(
+        new SpecIndex.Listener() {
+          @Override
+          public void accepted(SpecIndex.Spec spec) {
+            put(spec);
+          }
+
+          @Override
+          public void corrected(SpecIndex.Spec spec) {
+            incomplete.values().removeIf(s -> s.uid().equals(spec.uid()));
+            put(spec);
+          }
+        });
+    replica.listen(this::changed);
+  }
+
+  public DependencyGraph graph() {
+    return graph;
+  }
+
+  /**
+   * When this process first saw the job ready, by the time of day; empty for a job that is not, or
+   * that awaits nothing.
+   */
+  public OptionalLong readyWallMs(String uid) {
+    Long ms = readyWallMs.get(uid);
+    return ms == null ? OptionalLong.empty() : OptionalLong.of(ms);
+  }
+
+  /** Neither over nor ready: it holds nothing until others are done. */
+  public boolean isWaiting(String uid) {
+    return !graph.isReady(uid) && !graph.isAborted(uid) && replica.get(Keys.done(uid)).isEmpty();
+  }
+
+  public long waiting() {
+    return graph.uids().stream().filter(this::isWaiting).count();
+  }
+
+  private void put(SpecIndex.Spec spec) {
+    SpecRecord.Awaits awaits = SpecRecord.awaits(spec.value());
+    if (awaits instanceof SpecRecord.Awaits.Here here) {
+      if (!here.uids().isEmpty() || graph.awaitsOthers(spec.uid())) {
+        graph.put(spec.uid(), here.uids());
+      }
+    } else if (awaits instanceof SpecRecord.Awaits.Elsewhere elsewhere) {
+      Optional<List<String>> uids = AwaitsRecord.read(replica, elsewhere);
+      if (uids.isPresent()) {
+        incomplete.remove(elsewhere.name());
+        graph.put(spec.uid(), uids.get());
+      } else {
+        incomplete.put(elsewhere.name(), spec);
+        graph.expect(spec.uid());
+      }
+    }
+  }
+
+  private void changed(String key, Optional<Entry> entry) {
+    if (entry.isEmpty()) {
+      return;
+    }
+    if (key.startsWith(Keys.DONES)) {
+      graph.done(key.substring(Keys.DONES.length()));
+    } else if (key.startsWith(Keys.CANCELS)) {
+      graph.cancelled(key.substring(Keys.CANCELS.length()));
+    } else if (key.startsWith(Keys.AWAITS) && !incomplete.isEmpty()) {
+      SpecIndex.Spec spec =
+          incomplete.get(key.substring(Keys.AWAITS.length(), key.lastIndexOf('/')));
+      if (spec != null) {
+        put(spec);
+      }
+    }
+  }
+}
--- a/src/main/java/org/ploverspindle/state/Keys.java
+++ b/src/main/java/org/ploverspindle/state/Keys.java
@@ -13,6 +13,10 @@
   public static final String TYPES = PREFIX + "types";
   public static final String SPECS = PREFIX + "j/";
   public static final String BATCHES = PREFIX + "b/";
+
+  /** Before the jobs' own keys in their order: who reads all keys reads these lists first. */
+  public static final String AWAITS = PREFIX + "a/";
+
   public static final String CANCELS = PREFIX + "c/";
   public static final String DONES = PREFIX + "d/";
   public static final String PROGRESS = PREFIX + "p/";
@@ -26,6 +30,10 @@
     return BATCHES + name;
   }
 
+  public static String awaits(String name, int part) {
+    return AWAITS + name + "/" + String.format(Locale.ROOT, "%04d", part);
+  }
+
   public static String log(long n) {
     return LOG + String.format(Locale.ROOT, "%03d", ProgressLog.slot(n));
   }
--- a/src/main/java/org/ploverspindle/state/SpecIndex.java
+++ b/src/main/java/org/ploverspindle/state/SpecIndex.java
@@ -27,6 +27,9 @@
   /** Told of every job that is new here. */
   public interface Listener {
     void accepted(Spec spec);
+
+    /** The record that counts is an earlier one, which came here later; seen only while loading. */
+    default void corrected(Spec spec) {}
   }
 
   private final Map<String, Spec> specs = new HashMap<>();
@@ -72,6 +75,8 @@
     specs.put(spec.uid(), spec);
     if (known == null) {
       List.copyOf(listeners).forEach(l -> l.accepted(spec));
+    } else {
+      List.copyOf(listeners).forEach(l -> l.corrected(spec));
     }
   }
 }
--- a/src/main/java/org/ploverspindle/state/SpecRecord.java
+++ b/src/main/java/org/ploverspindle/state/SpecRecord.java
@@ -17,8 +17,47 @@
  * many tasks one progress record holds (fixed for good, as the settings may change).
  */
 public record SpecRecord(JobSpec spec, long acceptedWallMs, int chunk) {
+  private static final String AWAITS = "awaits";
+  private static final String AWAITS_IN = "awaits_in";
 
-  public JsonNode encode() {
+  /**
+   * Jobs that await nothing are written as they always were, to the letter: an earlier version may
+   * read them.
+   */
+  public ObjectNode encode() {
+    ObjectNode v = withoutDependencies();
+    if (!spec.dependencies().isEmpty()) {
+      spec.dependencies().forEach(v.putArray(AWAITS)::add);
+    }
+    return v;
+  }
+
+  /** With the dependencies in records of their own, which are written before this one. */
+  public ObjectNode encode(AwaitsRecord elsewhere) {
+    ObjectNode v = withoutDependencies();
+    v.putObject(AWAITS_IN).put("key", elsewhere.name()).put("parts", elsewhere.parts().size());
+    return v;
+  }
+
+  /** What the job of a record awaits. */
+  public sealed interface Awaits {
+    /** Empty for a job that awaits nothing. */
+    record Here(List<String> uids) implements Awaits {}
+
+    record Elsewhere(String name, int parts) implements Awaits {}
+  }
+
+  public static Awaits awaits(JsonNode v) {
+    JsonNode elsewhere = v.path(AWAITS_IN);
+    if (elsewhere.isObject()) {
+      return new Awaits.Elsewhere(elsewhere.path("key").asText(), elsewhere.path("parts").asInt());
+    }
+    List<String> uids = new ArrayList<>();
+    v.path(AWAITS).forEach(uid -> uids.add(uid.asText()));
+    return new Awaits.Here(List.copyOf(uids));
+  }
+
+  private ObjectNode withoutDependencies() {
     ObjectNode v = Cbor.map();
     v.put("class", spec.jobClass());
     v.put("team", spec.team());
@@ -86,7 +125,8 @@
               v.path("save_cost").asDouble(),
               v.path("due").isNumber()
                   ? OptionalDouble.of(v.path("due").asDouble())
-                  : OptionalDouble.empty());
+                  : OptionalDouble.empty(),
+              awaits(v) instanceof Awaits.Here here ? here.uids() : List.of());
       return Optional.of(new SpecRecord(spec, acceptedWallMs(v), chunk));
     } catch (IllegalArgumentException e) {
       return Optional.empty();
--- a/src/test/java/org/ploverspindle/Specs.java
+++ b/src/test/java/org/ploverspindle/Specs.java
@@ -1,5 +1,6 @@
 package org.ploverspindle;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.ploverspindle.jobs.JobSpec;
@@ -41,6 +42,7 @@
         runS,
         0,
         0,
-        dueS > 0 ? OptionalDouble.of(dueS) : OptionalDouble.empty());
+        dueS > 0 ? OptionalDouble.of(dueS) : OptionalDouble.empty(),
+        List.of());
   }
 }
--- a/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
+++ b/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -76,7 +77,14 @@
         "due_s|-3",
         "owner|\"\"",
         "expected_s|null",
-        "loaners|null"
+        "loaners|null",
+        "awaits|\"run-000398\"",
+        "awaits|{}",
+        "awaits|false",
+        "awaits|[\"run-000398\",7]",
+        "awaits|[null]",
+        "awaits|[[\"run-000398\"]]",
+        "awaits|[\"run 398\"]"
       })
   void refusesWhatIsInvalid(String field, String value) throws Exception {
     ObjectNode body = good();
@@ -88,6 +96,24 @@
     assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.decode(body));
   }
 
+  @Test
+  void dependenciesCountOnceAndAbsentNullAndEmptyAreNone() throws Exception {
+    ObjectNode body = good();
+    JsonNode plain = new SpecRecord(SubmissionCodec.decode(body), 77, 80).encode();
+    for (String none : new String[] {"null", "[]"}) {
+      body.set("awaits", new ObjectMapper().readTree(none));
+      JobSpec spec = SubmissionCodec.decode(body);
+      assertEquals(List.of(), spec.dependencies());
+      assertEquals(plain, new SpecRecord(spec, 77, 80).encode(), "stored as it always was");
+    }
+    body.set("awaits", new ObjectMapper().readTree("[\"run-2\",\"run-1\",\"run-2\"]"));
+    JobSpec spec = SubmissionCodec.decode(body);
+    assertEquals(List.of("run-2", "run-1"), spec.dependencies());
+    JsonNode stored = Cbor.readMap(Cbor.write(new SpecRecord(spec, 77, 80).encode())).orElseThrow();
+    assertEquals(
+        Optional.of(new SpecRecord(spec, 77, 80)), SpecRecord.decode("run-000412", stored));
+  }
+
   @Test
   void nanIsNoAmount() throws Exception {
     ObjectNode body = good().put("cores", Double.NaN);
--- a/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -84,7 +84,8 @@
             r.nextInt(12) == 0 ? 0 : 5 + r.nextInt(200),
             r.nextBoolean() ? 15 : 0,
             2,
-            OptionalDouble.of(300));
+            OptionalDouble.of(300),
+            List.of());
     BitSet types = new BitSet();
     types.set(0, 2);
     Job job =
--- a/src/test/java/org/ploverspindle/placement/PlacerTest.java
+++ b/src/test/java/org/ploverspindle/placement/PlacerTest.java
@@ -69,7 +69,8 @@
         10 + r.nextInt(30),
         r.nextBoolean() ? 15 : 0,
         0,
-        OptionalDouble.of(300));
+        OptionalDouble.of(300),
+        List.of());
   }
 
   private Fleet fleet(Random r, int machines) {
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -40,7 +40,8 @@
         5,
         0,
         0,
-        OptionalDouble.empty());
+        OptionalDouble.empty(),
+        List.of());
   }
 
   private void only(Checker.Rule rule) {
--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -44,7 +44,8 @@
         service ? 0 : 1 + random.nextInt(20),
         saves ? 3 : 0,
         saves ? 1 : 0,
-        random.nextBoolean() ? OptionalDouble.of(40) : OptionalDouble.empty());
+        random.nextBoolean() ? OptionalDouble.of(40) : OptionalDouble.empty(),
+        List.of());
   }
 
   private static void trouble(World w) {
@@ -200,7 +201,8 @@
             2,
             0,
             0,
-            OptionalDouble.empty());
+            OptionalDouble.empty(),
+            List.of());
     w.clock.at(3_000, () -> w.user(big));
     w.clock.at(40_000, () -> w.crash(0, 1_000));
     w.clock.at(45_000, () -> w.crash(1, 1_000));
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -685,6 +685,9 @@
     b.put("bundle", s.image()).put("image_gb", s.imageGb()).put("expected_s", s.expectedS());
     b.put("save_every_s", s.saveEveryS()).put("save_cost_s", s.saveCostS());
     s.dueS().ifPresent(d -> b.put("due_s", d));
+    if (!s.dependencies().isEmpty()) {
+      s.dependencies().forEach(b.putArray("awaits")::add);
+    }
     return Cbor.write(b);
   }
 }
