The leader starts a job only when all that it awaits is done, and passes deadlines back

A job that waits is not in the leader's table at all, so it holds nothing of limits, guarantee, demand and age. When the last job before it is done it comes as a new one does; the leader tells the graph of an end as soon as its write was carried out, so that no read stands between two steps. A new leader takes readiness from the graph, that is from the records. Records of tasks that can't be out yet are counted until they are proven gone, and nothing new of their job starts before it is ready.

Due times and urgency are passed back whenever a dependent comes or is aborted, and every five seconds as estimates move, before placing, preemption and renting go by them. What becomes ready at once is looked at once.

Renting does not count work that is about to become ready: the place for it is noted, measurement is to say whether it pays.

--- a/src/main/java/org/ploverspindle/jobs/JobTable.java
+++ b/src/main/java/org/ploverspindle/jobs/JobTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.state.Keys;
@@ -16,7 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The jobs that are not over, and cancelled ones until their tasks are gone. */
+/** The jobs that may run and are not over, and cancelled ones until their tasks are gone. */
 public final class JobTable {
   private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
 
@@ -34,12 +35,18 @@
   }
 
   /**
-   * Every job that is not done. Cancelled ones are among them as their tasks may still be there.
+   * Every job that is not done and that belongs here. Cancelled ones are among them as their tasks
+   * may still be there.
+   *
+   * @param belongs false for jobs that await others: until they are ready they hold nothing of
+   *     limits, guarantees and room, and are not looked at
    */
-  public List<Job> loadAll() {
+  public List<Job> loadAll(Predicate<String> belongs) {
     List<Job> loaded = new ArrayList<>();
     for (String uid : specs.uids()) {
-      specs.get(uid).flatMap(this::add).ifPresent(loaded::add);
+      if (belongs.test(uid)) {
+        specs.get(uid).flatMap(this::add).ifPresent(loaded::add);
+      }
     }
     return loaded;
   }
--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -163,7 +163,8 @@
 
   /** The task's progress changed. */
   public void changed(Job job, int task) {
-    if (job.allDone() && !job.cancelled()) {
+    // A job is not done before what it awaits is: it might still be aborted with that.
+    if (job.allDone() && !job.cancelled() && !job.awaiting()) {
       ending.putIfAbsent(job.uid(), job);
     } else {
       dirty.computeIfAbsent(job, j -> new BitSet()).set(task);
--- a/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
+++ b/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
@@ -59,6 +59,11 @@
     return logDamaged;
   }
 
+  /** Does any record speak of the job's tasks? */
+  public boolean speaksOf(String uid) {
+    return logByJob.containsKey(uid) || !replica.under(Keys.progressOf(uid)).isEmpty();
+  }
+
   /** The job's progress; the job is blocked if a checkpoint of it can't be read. */
   public State of(Job job) {
     State state = new State(new BitSet(), new TreeMap<>());
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/PassedBack.java
@@ -0,0 +1,111 @@
+package org.ploverspindle.leadership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.JobTable;
+import org.ploverspindle.pipelines.CriticalPath;
+import org.ploverspindle.pipelines.DependencyGraph;
+import org.ploverspindle.placement.Aims;
+import org.ploverspindle.placement.Estimates;
+import org.ploverspindle.state.SpecRecord;
+
+/**
+ * Tells the jobs in the table what the jobs that need them make of them: the last job's due time
+ * and priority, passed back along the critical path. Worked out for all unfinished pipelines at
+ * once, when one of them has changed, or now and then as the corrected estimates move; where there
+ * are no pipelines, it costs nothing.
+ */
+final class PassedBack {
+  /** Estimates move slowly: each finished task moves its class's by less than a tenth. */
+  private static final long STALE_MS = 5_000;
+
+  private final DependencyGraph graph;
+  private final Function<String, Optional<SpecRecord>> records;
+  private final JobTable jobs;
+  private final Estimates estimates;
+  private final Aims aims;
+  private final Map<String, SpecRecord> known = new HashMap<>();
+  private boolean changed = true;
+  private boolean any;
+  private long workedOutMs = Long.MIN_VALUE / 2;
+
+  /**
+   * @param records what was accepted under an id; read once for each unfinished job
+   */
+  PassedBack(
+      DependencyGraph graph,
+      Function<String, Optional<SpecRecord>> records,
+      JobTable jobs,
+      Estimates estimates,
+      Aims aims) {
+    this.graph = graph;
+    this.records = records;
+    this.jobs = jobs;
+    this.estimates = estimates;
+    this.aims = aims;
+  }
+
+  /** A job that needs others came, or will never run. */
+  void changed() {
+    changed = true;
+  }
+
+  /** Brings all jobs up to date before something is decided by them. */
+  void update(long nowMs) {
+    if (changed || any && nowMs - workedOutMs > STALE_MS) {
+      changed = false;
+      workedOutMs = nowMs;
+      workOut();
+    }
+  }
+
+  private void workOut() {
+    Map<String, CriticalPath.PassedBack> due = pass(spec -> 1);
+    Map<String, CriticalPath.PassedBack> lastChance =
+        pass(spec -> aims.lastMultiple(spec.jobClass()));
+    any = !due.isEmpty();
+    known.keySet().retainAll(due.keySet());
+    due.forEach(
+        (uid, p) ->
+            jobs.get(uid)
+                .ifPresent(
+                    job ->
+                        job.passedBack(
+                            p.urgency(),
+                            p.latestFinishMs(),
+                            lastChance.get(uid).latestFinishMs())));
+  }
+
+  /**
+   * @param multiple of a job's due time by which it is to be done
+   */
+  private Map<String, CriticalPath.PassedBack> pass(ToDoubleFunction<JobSpec> multiple) {
+    return CriticalPath.of(graph, uid -> record(uid).map(r -> own(r, multiple)));
+  }
+
+  private CriticalPath.Own own(SpecRecord record, ToDoubleFunction<JobSpec> multiple) {
+    JobSpec spec = record.spec();
+    OptionalLong latestFinish =
+        spec.dueS().isPresent()
+            ? OptionalLong.of(
+                record.acceptedWallMs()
+                    + Math.round(spec.dueS().getAsDouble() * multiple.applyAsDouble(spec) * 1000))
+            : OptionalLong.empty();
+    return new CriticalPath.Own(latestFinish, spec.urgency(), estimates.runS(spec));
+  }
+
+  private Optional<SpecRecord> record(String uid) {
+    SpecRecord read = known.get(uid);
+    if (read != null) {
+      return Optional.of(read);
+    }
+    Optional<SpecRecord> fresh = records.apply(uid);
+    fresh.ifPresent(r -> known.put(uid, r));
+    return fresh;
+  }
+}
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -26,6 +26,7 @@
 import org.ploverspindle.loop.DutyTimes;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.pipelines.DependencyGraph;
 import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.placement.Aims;
 import org.ploverspindle.placement.Arrivals;
@@ -108,6 +109,8 @@
   private final Reach reach;
   private final Aims aims;
   private final Arrivals arrivals = new Arrivals();
+  private final PassedBack passedBack;
+  private final List<Job> newlyReady = new ArrayList<>();
   private final ProgressWriter writer;
   private final ReportDesk desk;
   private final Placer placer;
@@ -155,6 +158,13 @@
     this.blame = new Blame(this::works);
     this.reach = new Reach(fleet, term, with.settings());
     this.aims = new Aims(with.settings().objectives());
+    this.passedBack =
+        new PassedBack(
+            with.pipelines().graph(),
+            uid -> with.specs().get(uid).flatMap(s -> SpecRecord.decode(uid, s.value())),
+            jobs,
+            estimates,
+            aims);
     this.placer =
         new Placer(
             with.catalogue(),
@@ -188,9 +198,17 @@
         .sorted(Comparator.comparingLong(spec -> SpecRecord.acceptedWallMs(spec.value())))
         .forEach(this::remember);
     RecordedProgress recorded = new RecordedProgress(with.replica(), writer);
-    for (Job job : jobs.loadAll()) {
+    DependencyGraph graph = with.pipelines().graph();
+    for (Job job : jobs.loadAll(uid -> graph.isReady(uid) || recorded.speaksOf(uid))) {
+      if (!graph.isReady(job.uid())) {
+        LOG.error("tasks of job {} are recorded before what it awaits is done", job.uid());
+        job.await();
+      } else if (graph.awaitsOthers(job.uid())) {
+        job.readySince(readyWallMs(job));
+      }
       rebuild(job, recorded.of(job), now);
     }
+    passedBack.update(now);
     if (recorded.logDamaged()) {
       placingFromMs = now + with.timing().takeoverSilenceMs();
     }
@@ -201,6 +219,7 @@
         term.token());
     duties.add(with.replica().listen(this::recordChanged));
     duties.add(with.specs().listen(this::accepted));
+    duties.add(graph.listen(new GraphEvents()));
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
@@ -259,11 +278,15 @@
                 job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
       }
     }
-    if (job.allDone() && !job.cancelled()) {
+    if (job.allDone() && !job.cancelled() && !job.awaiting()) {
       writer.changed(job, 0);
     }
   }
 
+  private long readyWallMs(Job job) {
+    return with.pipelines().readyWallMs(job.uid()).orElse(job.acceptedWallMs());
+  }
+
   // ---- changes made by any node
 
   private void recordChanged(String key, Optional<Entry> entry) {
@@ -276,16 +299,63 @@
   }
 
   private void accepted(SpecIndex.Spec spec) {
-    if (!closed) {
-      LOG.debug("job {} is here", spec.uid());
-      jobs.add(spec).ifPresent(this::arrived);
-      rentals.scanSoon();
-      planPlacing();
+    if (closed) {
+      return;
+    }
+    LOG.debug("job {} is here", spec.uid());
+    if (with.pipelines().graph().awaitsOthers(spec.uid())) {
+      passedBack.changed();
+      if (with.pipelines().graph().isReady(spec.uid())) {
+        ready(spec);
+      }
+      return;
+    }
+    jobs.add(spec).ifPresent(this::arrived);
+    rentals.scanSoon();
+    planPlacing();
+  }
+
+  /** All that the job awaited is done: it comes as a new one does. */
+  private void ready(SpecIndex.Spec spec) {
+    Optional<Job> known = jobs.get(spec.uid());
+    if (known.isPresent()) {
+      Job job = known.get();
+      if (job.awaiting()) {
+        job.readySince(readyWallMs(job));
+        if (!job.over()) {
+          writer.changed(job, 0);
+        }
+      }
+    } else {
+      jobs.add(spec)
+          .ifPresent(
+              job -> {
+                LOG.debug("what job {} awaited is done", job.uid());
+                job.readySince(readyWallMs(job));
+                newlyReady.add(job);
+                passedBack.changed();
+              });
     }
+    rentals.scanSoon();
+    planPlacing();
+  }
+
+  /**
+   * What is decided next goes by what jobs pass back now. All that became ready at once, of which
+   * there may be many, is looked at once.
+   */
+  private void updatePassedBack() {
+    passedBack.update(with.scheduler().nowMs());
+    newlyReady.forEach(this::arrived);
+    newlyReady.clear();
   }
 
   /** What came under earlier leaders tells how much will come under this one. */
   private void remember(SpecIndex.Spec spec) {
+    if (with.pipelines().graph().awaitsOthers(spec.uid())) {
+      // It came when it became ready, which nobody has recorded.
+      return;
+    }
     long wallMs = SpecRecord.acceptedWallMs(spec.value());
     arrivals.came(wallMs);
     if (with.scheduler().wallMs() - wallMs < REMEMBERED_MS) {
@@ -536,6 +606,7 @@
 
   private void preempt() {
     if (mayDecide()) {
+      updatePassedBack();
       int stopped = placer.preempt(with.scheduler().nowMs(), with.scheduler().wallMs());
       if (stopped > 0) {
         LOG.info("{} tasks are stopped to make room for pressing jobs", stopped);
@@ -570,6 +641,7 @@
                 placingPlanned = false;
                 long now = with.scheduler().nowMs();
                 if (mayDecide() && now >= placingFromMs) {
+                  updatePassedBack();
                   times.run("placing", () -> placer.run(now, with.scheduler().wallMs()));
                   placingTookMs = with.scheduler().nowMs() - now;
                 }
@@ -619,6 +691,8 @@
     public void finished(Job job) {
       LOG.info("job {} is done", job.uid());
       tidy(job);
+      // The write has been carried out: what awaits it need not wait for the next read.
+      with.pipelines().graph().done(job.uid());
     }
 
     @Override
@@ -627,6 +701,24 @@
     }
   }
 
+  private final class GraphEvents implements DependencyGraph.Listener {
+    @Override
+    public void ready(String uid) {
+      if (!closed) {
+        with.specs().get(uid).ifPresent(Steward.this::ready);
+      }
+    }
+
+    /** Nothing of it has begun, unless records are damaged; others need no longer press for it. */
+    @Override
+    public void aborted(String uid) {
+      if (!closed) {
+        passedBack.changed();
+        jobs.get(uid).ifPresent(Steward.this::cancel);
+      }
+    }
+  }
+
   private final class DeskEvents implements ReportDesk.Listener {
     @Override
     public void completed(Placement p, long nowMs) {
@@ -716,6 +808,9 @@
     public List<Demand.Wanted> wanted(List<Demand.Offer> offers, List<Demand.Coming> coming) {
       long now = with.scheduler().nowMs();
       long wall = with.scheduler().wallMs();
+      updatePassedBack();
+      // Work that is about to become ready could be counted here, from what its dependencies'
+      // tasks have left to run; whether renting ahead for it pays is for measurement to say.
       List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
       Demand demand = new Demand(with.catalogue(), teams, estimates, aims, with.policy().drainS());
       List<Demand.Wanted> wanted =
--- a/src/main/java/org/ploverspindle/placement/Estimates.java
+++ b/src/main/java/org/ploverspindle/placement/Estimates.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.workers.Placement;
 
 /** Owners' estimates, corrected by class from what finished tasks really took. */
@@ -23,7 +24,12 @@
 
   /** How long a task of the job runs, in seconds. */
   public double runS(Job job) {
-    return job.spec().expectedS() * ratio(job.spec().jobClass());
+    return runS(job.spec());
+  }
+
+  /** The same for a job that does not wait for room yet. */
+  public double runS(JobSpec spec) {
+    return spec.expectedS() * ratio(spec.jobClass());
   }
 
   /**
