--- a/src/test/java/org/ploverspindle/Specs.java
+++ b/src/test/java/org/ploverspindle/Specs.java
@@ -45,4 +45,30 @@
         dueS > 0 ? OptionalDouble.of(dueS) : OptionalDouble.empty(),
         List.of());
   }
+
+  /** The same job, but it awaits others. */
+  public static JobSpec after(JobSpec s, String... dependencies) {
+    return new JobSpec(
+        s.uid(),
+        s.jobClass(),
+        s.team(),
+        s.shape(),
+        s.urgency(),
+        s.tasks(),
+        s.cores(),
+        s.accelerators(),
+        s.memoryGb(),
+        s.types(),
+        s.zone(),
+        s.oneZone(),
+        s.apart(),
+        s.spot(),
+        s.image(),
+        s.imageGb(),
+        s.expectedS(),
+        s.saveEveryS(),
+        s.saveCostS(),
+        s.dueS(),
+        List.of(dependencies));
+  }
 }
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
+import org.ploverspindle.Specs;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Shape;
 import org.ploverspindle.jobs.Urgency;
@@ -208,4 +209,71 @@
     checker.endOfDay();
     only(Checker.Rule.STARVED);
   }
+
+  /** The second job awaits the first. */
+  private void pipeline() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.submitted(Specs.after(spec("run-2", 1, false, false), "run-1"));
+    checker.submitted(Specs.after(spec("run-3", 1, false, false), "run-2"));
+    List.of("run-1", "run-2", "run-3")
+        .forEach(u -> checker.told(u, 201, "queued", true, clock.nowMs()));
+  }
+
+  private void completes(String uid) {
+    for (int task = 0; task < 2; task++) {
+      checker.starts(uid, task, A);
+      checker.completes(uid, task);
+      checker.leaves(uid, task, A);
+    }
+  }
+
+  @Test
+  void reportsNothingOnAnOrderlyPipeline() {
+    pipeline();
+    List.of("run-1", "run-2", "run-3").forEach(this::completes);
+    assertEquals(List.of(), checker.broken());
+  }
+
+  @Test
+  void reportsATaskThatStartsBeforeWhatItNeedsIsDone() {
+    pipeline();
+    checker.starts("run-1", 0, A);
+    checker.completes("run-1", 0);
+    checker.starts("run-2", 0, A);
+    only(Checker.Rule.TOO_EARLY);
+  }
+
+  @Test
+  void reportsAnOrphanOfAnyDepthOnceItsTimeIsOver() {
+    pipeline();
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    clock.runUntil(20_000);
+    checker.told("run-3", 200, "queued", false, clock.nowMs());
+    assertEquals(List.of(), checker.broken());
+    clock.runUntil(20_001);
+    checker.told("run-3", 200, "queued", false, clock.nowMs());
+    only(Checker.Rule.ORPHANED);
+  }
+
+  @Test
+  void whatNeedsACancelledJobIsAbortedAndNothingElse() {
+    pipeline();
+    checker.cancelAsked("run-2");
+    checker.told("run-2", 200, "aborted", false, clock.nowMs());
+    checker.told("run-3", 200, "aborted", false, clock.nowMs());
+    assertEquals(List.of(), checker.broken());
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    only(Checker.Rule.WENT_BACK);
+  }
+
+  @Test
+  void reportsAnAbortionAfterACancellationThatWasAnsweredDone() {
+    pipeline();
+    completes("run-1");
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "done", false, clock.nowMs());
+    checker.told("run-2", 200, "aborted", false, clock.nowMs());
+    only(Checker.Rule.WENT_BACK);
+  }
 }
