Jobs that await others are accepted, answered and explained on every node

A job never accepted, the job itself and a service are refused only after a read that was sent after the request came. A job whose dependencies the copy shows is written at once, under the conditions that no unfinished job before it is cancelled: an answer 'queued' is then as new as the write. Where they are too many for conditions, the copy is read first. Lists too long for a value are stored in parts first; a list that was begun is gone on with when the user's repeat comes, at any node. What follows from another job's cancellation is derived from the copy, behind the same barrier as all answers. status tells how many jobs wait, and what one job awaits.

--- a/src/main/java/org/ploverspindle/cli/StatusCommand.java
+++ b/src/main/java/org/ploverspindle/cli/StatusCommand.java
@@ -4,10 +4,14 @@
 import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.ploverspindle.net.Cbor;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -24,11 +28,20 @@
   @Parameters(paramLabel = "ADDRESS", description = "Its front address, as in 10.0.0.1:8080.")
   private String address;
 
+  @Option(
+      names = "--job",
+      paramLabel = "UID",
+      description = "Asks about one job instead: how it is, and what it awaits.")
+  private Optional<String> job = Optional.empty();
+
   @Override
   public Integer call() {
+    String query =
+        job.map(uid -> "?job=" + URLEncoder.encode(uid, StandardCharsets.UTF_8)).orElse("");
     try {
       HttpURLConnection c =
-          (HttpURLConnection) URI.create("http://" + address + "/status").toURL().openConnection();
+          (HttpURLConnection)
+              URI.create("http://" + address + "/status" + query).toURL().openConnection();
       c.setConnectTimeout(TIMEOUT_MS);
       c.setReadTimeout(TIMEOUT_MS);
       if (c.getResponseCode() != 200) {
--- a/src/main/java/org/ploverspindle/front/Door.java
+++ b/src/main/java/org/ploverspindle/front/Door.java
@@ -11,6 +11,8 @@
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.ploverspindle.loop.EventLoop;
@@ -72,6 +74,9 @@
     void checkin(byte[] body, Consumer<Answer> then);
 
     void status(Consumer<Answer> then);
+
+    /** What is known of one job, and what it awaits, for people. */
+    void jobStatus(String uid, Consumer<Answer> then);
   }
 
   private final EventLoop loop;
@@ -138,7 +143,13 @@
       }
       case "/status" -> {
         if (allow(exchange, method, Methods.GET)) {
-          hand(exchange, Rank.SUBMISSION, desk::status);
+          Optional<String> job =
+              Optional.ofNullable(exchange.getQueryParameters().get("job")).map(Deque::peek);
+          hand(
+              exchange,
+              Rank.SUBMISSION,
+              then ->
+                  job.ifPresentOrElse(uid -> desk.jobStatus(uid, then), () -> desk.status(then)));
         }
       }
       case JOBS -> {
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -1,14 +1,18 @@
 package org.ploverspindle.front;
 
+import static java.util.stream.Collectors.joining;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
@@ -16,7 +20,10 @@
 import org.ploverspindle.jobs.Shape;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.net.Cbor;
+import org.ploverspindle.pipelines.DependencyGraph;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.AwaitsRecord;
 import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.ProgressRecord;
@@ -54,9 +61,41 @@
   private static final int MAX_VALUE_BYTES = 16 * 1024;
   private static final int MAX_TXN_BYTES = 56 * 1024;
 
-  /** A submission on its way into the store, with all who asked for it here meanwhile. */
+  /** A list of dependencies that is not stored by then is gone on with for the user's repeat. */
+  private static final long LIST_LIMIT_MS = 3_500;
+
+  /** Afterwards there is so much left for the job itself. */
+  private static final long AFTER_LIST_MS = 1_000;
+
+  private static final int MOST_EXPLAINED = 50;
+
+  /** Beyond so many unfinished jobs before it a job is accepted after a read instead. */
+  private static final int MOST_GUARDS = 6;
+
+  /** What a user asks for, checked as far as that can be done without the copy. */
+  private record Request(
+      JobSpec spec,
+      JsonNode value,
+      Optional<AwaitsRecord> list,
+      long cameMs,
+      Consumer<Answer> then) {
+    int bytes() {
+      return Cbor.jsonSize(value) + spec.uid().length() + 4;
+    }
+  }
+
+  /**
+   * A submission on its way into the store, with all who asked for it here meanwhile.
+   *
+   * @param guards jobs whose cancellation would make "queued" an old answer
+   */
   private record Creation(
-      JobSpec spec, JsonNode value, int bytes, long cameMs, List<Consumer<Answer>> askers) {
+      JobSpec spec,
+      JsonNode value,
+      int bytes,
+      long cameMs,
+      List<String> guards,
+      List<Consumer<Answer>> askers) {
     void answer(Answer answer) {
       askers.forEach(a -> a.accept(answer));
     }
@@ -69,6 +108,8 @@
   private final Settings settings;
   private final TokenBucket writes;
   private final SpecIndex specs;
+  private final Pipelines pipelines;
+  private final AwaitsWriter lists;
   private final ProgressCounts counts;
   private final String nonce;
   private final Runnable changedForLeader;
@@ -91,6 +132,7 @@
       StateStore store,
       Replica replica,
       SpecIndex specs,
+      Pipelines pipelines,
       ProgressCounts counts,
       Catalogue catalogue,
       Settings settings,
@@ -98,6 +140,14 @@
       String nonce,
       Runnable changedForLeader) {
     this.specs = specs;
+    this.pipelines = pipelines;
+    this.lists =
+        new AwaitsWriter(
+            scheduler,
+            store,
+            replica,
+            settings.stateLimits().txnOps(),
+            settings.stateLimits().writeRps());
     this.counts = counts;
     this.nonce = nonce;
     this.changedForLeader = changedForLeader;
@@ -151,7 +201,7 @@
       return Optional.of(body.put("status", "done").put("done", tasks).put("running", 0));
     }
     ProgressCounts.Counts c = counts.of(uid);
-    if (replica.get(Keys.cancel(uid)).isPresent()) {
+    if (aborted(uid)) {
       return Optional.of(body.put("status", "aborted").put("done", c.done()).put("running", 0));
     }
     String status = c.running() > 0 ? "running" : "queued";
@@ -160,8 +210,17 @@
   }
 
   private boolean over(String uid) {
-    return specs.get(uid).isPresent()
-        && (replica.get(Keys.done(uid)).isPresent() || replica.get(Keys.cancel(uid)).isPresent());
+    return specs.get(uid).isPresent() && (replica.get(Keys.done(uid)).isPresent() || aborted(uid));
+  }
+
+  /**
+   * By its own cancellation, or by that of a job before it: the copy shows all of them at once, so
+   * that this is as new as the copy. While it is loaded it need not be known yet which of two
+   * records of a job counts.
+   */
+  private boolean aborted(String uid) {
+    return replica.get(Keys.cancel(uid)).isPresent()
+        || replica.loaded() && pipelines.graph().isAborted(uid);
   }
 
   private static Answer notNow() {
@@ -223,33 +282,164 @@
       then.accept(Answer.later(503, "the machine types are not known yet", 2));
       return;
     }
+    Request request = request(spec, then);
     Optional<String> never = neverRuns(spec);
-    JsonNode value = new SpecRecord(spec, scheduler.wallMs(), chunk).encode();
-    int size = Cbor.jsonSize(value) + uid.get().length() + 4;
-    if (never.isEmpty() && size > valueBytes - 50) {
+    if (never.isEmpty() && request.bytes() > mostBytes()) {
       never = Optional.of("the job's description is too long to be kept");
     }
     if (never.isPresent()) {
       refuseUnlessKnown(uid.get(), Answer.error(422, never.get()), then);
-      return;
+    } else if (spec.dependencies().isEmpty()) {
+      accept(request, List.of());
+    } else {
+      acceptAwaiting(request);
     }
-    Creation same = pending.get(uid.get());
+  }
+
+  private int mostBytes() {
+    return valueBytes - 50;
+  }
+
+  private Request request(JobSpec spec, Consumer<Answer> then) {
+    long now = scheduler.nowMs();
+    SpecRecord record = new SpecRecord(spec, scheduler.wallMs(), chunk);
+    Request whole = new Request(spec, record.encode(), Optional.empty(), now, then);
+    if (spec.dependencies().isEmpty() || whole.bytes() <= mostBytes()) {
+      return whole;
+    }
+    AwaitsRecord list = AwaitsRecord.split(spec.uid(), spec.dependencies(), valueBytes);
+    return new Request(spec, record.encode(list), Optional.of(list), now, then);
+  }
+
+  private void accept(Request request, List<String> guards) {
+    String uid = request.spec().uid();
+    Creation same = pending.get(uid);
     if (same != null) {
       // The user asks again while its first request is under way: one record answers both.
-      same.askers().add(then);
+      same.askers().add(request.then());
       return;
     }
     if (creations.size() >= MOST_WAITING) {
-      then.accept(Answer.later(429, "too many submissions at once", 2));
+      request.then().accept(Answer.later(429, "too many submissions at once", 2));
       return;
     }
-    List<Consumer<Answer>> askers = new ArrayList<>(List.of(then));
-    Creation creation = new Creation(spec, value, size, scheduler.nowMs(), askers);
-    pending.put(uid.get(), creation);
+    List<Consumer<Answer>> askers = new ArrayList<>(List.of(request.then()));
+    Creation creation =
+        new Creation(
+            request.spec(), request.value(), request.bytes(), request.cameMs(), guards, askers);
+    pending.put(uid, creation);
     creations.add(creation);
     planFlush(4);
   }
 
+  // ---- jobs that await others
+
+  /**
+   * A job that was accepted stays so, which makes the copy good enough to accept by. What it may
+   * not show is that this very job was accepted elsewhere and called aborted since: either the
+   * write excludes that by conditions, or the copy is first read anew.
+   */
+  private void acceptAwaiting(Request request) {
+    JobSpec spec = request.spec();
+    Optional<List<String>> guards = guards(spec);
+    if (guards.isPresent() && request.list().isEmpty()) {
+      accept(request, guards.get());
+      return;
+    }
+    Consumer<Answer> then = request.then();
+    barrier(
+        ok -> {
+          if (!ok) {
+            then.accept(notNow());
+            return;
+          }
+          Optional<Answer> answer =
+              state(spec.uid())
+                  .map(s -> Answer.of(200, s))
+                  .or(() -> wrongDependency(spec).map(why -> Answer.error(422, why)));
+          if (answer.isPresent()) {
+            then.accept(answer.get());
+          } else if (request.list().isPresent()) {
+            storeList(request, request.list().get());
+          } else {
+            accept(request, guards(spec).orElse(List.of()));
+          }
+        });
+  }
+
+  /** Asked of a copy that was read after the request came. */
+  private Optional<String> wrongDependency(JobSpec spec) {
+    for (String uid : spec.dependencies()) {
+      Optional<SpecIndex.Spec> awaited = specs.get(uid);
+      if (awaited.isEmpty()) {
+        return Optional.of("awaits a job that was never accepted: " + uid);
+      }
+      if (SpecRecord.isService(awaited.get().value())) {
+        return Optional.of("awaits a service, which is never done: " + uid);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * All jobs before this one that are not done, so that it is aborted exactly if one of them is
+   * cancelled. None if the copy shows that it is aborted, which no later fact can change. Empty
+   * when the copy does not show them all, or they are too many for a transaction's conditions.
+   */
+  private Optional<List<String>> guards(JobSpec spec) {
+    int most = Math.min(MOST_GUARDS, 4 * settings.stateLimits().txnOps() - 3);
+    if (wrongDependency(spec).isPresent()) {
+      return Optional.empty();
+    }
+    Set<String> unfinished = new LinkedHashSet<>();
+    Deque<String> work = new ArrayDeque<>(spec.dependencies());
+    while (!work.isEmpty()) {
+      String uid = work.poll();
+      if (aborted(uid)) {
+        return Optional.of(List.of());
+      }
+      if (replica.get(Keys.done(uid)).isEmpty() && unfinished.add(uid)) {
+        if (unfinished.size() > most || !pipelines.graph().isKnown(uid)) {
+          return Optional.empty();
+        }
+        work.addAll(pipelines.graph().dependenciesOf(uid));
+      }
+    }
+    return Optional.of(List.copyOf(unfinished));
+  }
+
+  private void storeList(Request request, AwaitsRecord list) {
+    if (lists.isFull()) {
+      request.then().accept(Answer.later(429, "too many long lists at once", 3));
+      return;
+    }
+    boolean[] answered = {false};
+    Consumer<Boolean> once =
+        stands -> {
+          if (answered[0]) {
+            return;
+          }
+          answered[0] = true;
+          if (stands) {
+            long cameMs = scheduler.nowMs() - CREATE_LIMIT_MS + AFTER_LIST_MS;
+            accept(
+                new Request(
+                    request.spec(),
+                    request.value(),
+                    request.list(),
+                    Math.max(cameMs, request.cameMs()),
+                    request.then()),
+                List.of());
+          } else {
+            request.then().accept(Answer.later(503, "the list of jobs is not stored yet", 1));
+          }
+        };
+    scheduler.schedule(
+        Math.max(0, request.cameMs() + LIST_LIMIT_MS - scheduler.nowMs()),
+        () -> once.accept(false));
+    lists.write(list, once);
+  }
+
   private void known(String uid, Consumer<Answer> then) {
     if (over(uid)) {
       then.accept(Answer.of(200, state(uid).orElseThrow()));
@@ -328,22 +518,22 @@
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
     int bytes = 200;
-    int most = 4 * settings.stateLimits().txnOps() - 3;
     while (!creations.isEmpty()
         && changes.size() < budget
-        && conditions.size() < most
+        && conditionsFit(conditions.size(), creations.peek())
         && bytes < MAX_TXN_BYTES - valueBytes) {
       ObjectNode jobs = Cbor.map();
       int size = 2;
       while (!creations.isEmpty()
-          && conditions.size() < most
+          && conditionsFit(conditions.size(), creations.peek())
           && size + creations.peek().bytes() <= valueBytes) {
         Creation c = creations.poll();
         // Another node may have accepted it long ago, which this copy need not show yet: a job that
         // was called done or cancelled must not be called queued for it.
         conditions.add(new Condition(Keys.cancel(c.spec().uid()), 0));
         conditions.add(new Condition(Keys.done(c.spec().uid()), 0));
-        bytes += 200;
+        c.guards().forEach(g -> conditions.add(new Condition(Keys.cancel(g), 0)));
+        bytes += 200 + 100 * c.guards().size();
         jobs.set(c.spec().uid(), c.value());
         size += c.bytes();
         batch.add(c);
@@ -360,6 +550,11 @@
     store.txn(new StateStore.Txn(conditions, changes), r -> created(batch, r));
   }
 
+  /** Those of the job itself, and one for the record that it will stand in. */
+  private boolean conditionsFit(int conditions, Creation c) {
+    return conditions + 3 + c.guards().size() <= 4 * settings.stateLimits().txnOps();
+  }
+
   private void giveUp(Creation c) {
     pending.remove(c.spec().uid());
     c.answer(Answer.later(503, "the state service is busy", 2));
@@ -379,7 +574,9 @@
           batch.get(0).spec().uid(),
           scheduler.nowMs() - batch.get(0).cameMs());
       for (Creation c : batch) {
-        c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", "queued")));
+        boolean aborted = c.spec().dependencies().stream().anyMatch(this::aborted);
+        String status = aborted ? "aborted" : "queued";
+        c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", status)));
       }
       changedForLeader.run();
     } else if (result instanceof TxnResult.Refused) {
@@ -400,7 +597,17 @@
   private void afterConflict(Creation c, boolean fresh) {
     String uid = c.spec().uid();
     if (fresh && specs.get(uid).isEmpty()) {
-      creations.addFirst(c);
+      // The conditions are worked out anew: a job before it may have been cancelled, or done.
+      Creation again =
+          new Creation(
+              c.spec(),
+              c.value(),
+              c.bytes(),
+              c.cameMs(),
+              c.guards().isEmpty() ? List.of() : guards(c.spec()).orElse(List.of()),
+              c.askers());
+      pending.put(uid, again);
+      creations.addFirst(again);
       planFlush(4);
     } else {
       pending.remove(uid);
@@ -412,6 +619,40 @@
     return fresh ? state(uid).map(s -> Answer.of(200, s)).orElseGet(Intake::notNow) : notNow();
   }
 
+  // ---- for people
+
+  /** How the copy has the job, and what it awaits. */
+  public String explain(String uid) {
+    Optional<String> status = state(uid).map(s -> s.path("status").asText());
+    if (status.isEmpty()) {
+      return uid + " is not known here";
+    }
+    if (!pipelines.isWaiting(uid)) {
+      return uid + " is " + status.get() + " and awaits nothing";
+    }
+    DependencyGraph graph = pipelines.graph();
+    if (!graph.isKnown(uid)) {
+      return uid + " is queued; the list of jobs that it awaits is not read yet";
+    }
+    List<String> unfinished = graph.unfinished(uid);
+    String named =
+        unfinished.stream().limit(MOST_EXPLAINED).map(this::named).collect(joining(", "));
+    return uid
+        + " is queued and awaits "
+        + unfinished.size()
+        + " of "
+        + graph.dependenciesOf(uid).size()
+        + " jobs: "
+        + named
+        + (unfinished.size() > MOST_EXPLAINED ? ", ..." : "");
+  }
+
+  private String named(String uid) {
+    String status = state(uid).map(s -> s.path("status").asText()).orElse("not known here");
+    int others = pipelines.isWaiting(uid) ? pipelines.graph().unfinished(uid).size() : 0;
+    return uid + " (" + status + (others > 0 ? ", awaits " + others : "") + ")";
+  }
+
   // ---- cancelling
 
   public void withdraw(String uid, Consumer<Answer> then) {
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -49,6 +49,7 @@
   private final Timing timing;
   private final Election election;
   private final Intake intake;
+  private final Pipelines pipelines;
   private final TokenBucket writes;
   private final Steward.Surroundings surroundings;
   private final Peers peers;
@@ -91,7 +92,7 @@
             Math.max(1, settings.stateLimits().writeRps() * ACCEPTING_SHARE),
             Math.max(3, settings.stateLimits().writeRps() * ACCEPTING_SHARE));
     SpecIndex specs = new SpecIndex(replica);
-    Pipelines pipelines = new Pipelines(loop, replica, specs);
+    this.pipelines = new Pipelines(loop, replica, specs);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
     this.intake =
@@ -100,6 +101,7 @@
             store,
             replica,
             specs,
+            pipelines,
             counts,
             catalogue,
             settings,
@@ -320,6 +322,13 @@
                 + ready
                 + " leader="
                 + election.leaderName().orElse("none")
+                + " waiting="
+                + pipelines.waiting()
                 + steward.map(s -> " token=" + s.term().token() + " " + s.summary()).orElse("")));
   }
+
+  @Override
+  public void jobStatus(String uid, Consumer<Answer> then) {
+    then.accept(Answer.text(intake.explain(uid)));
+  }
 }
--- a/src/main/java/org/ploverspindle/pipelines/DependencyGraph.java
+++ b/src/main/java/org/ploverspindle/pipelines/DependencyGraph.java
@@ -131,6 +131,12 @@
     return v == null ? isCancelled.test(uid) : v.aborted;
   }
 
+  /** False while it is not known what the job awaits. */
+  public boolean isKnown(String uid) {
+    Vertex v = byUid.get(uid);
+    return v == null || !v.awaits || v.known;
+  }
+
   public boolean awaitsOthers(String uid) {
     return awaiting.contains(uid);
   }
--- a/src/main/java/org/ploverspindle/state/SpecRecord.java
+++ b/src/main/java/org/ploverspindle/state/SpecRecord.java
@@ -88,6 +88,11 @@
     return v.path("at").asLong();
   }
 
+  /** Alone, for looking at many records. */
+  public static boolean isService(JsonNode v) {
+    return v.path("shape").asText().equals(Shape.SERVICE.name().toLowerCase(Locale.ROOT));
+  }
+
   /** Empty when the record can't be read. */
   public static Optional<SpecRecord> decode(String uid, JsonNode v) {
     try {
--- a/src/test/java/org/ploverspindle/front/DoorTest.java
+++ b/src/test/java/org/ploverspindle/front/DoorTest.java
@@ -55,6 +55,11 @@
     public void status(Consumer<Answer> then) {
       then.accept(Answer.text("fine"));
     }
+
+    @Override
+    public void jobStatus(String uid, Consumer<Answer> then) {
+      then.accept(Answer.text(uid + " waits"));
+    }
   }
 
   private EventLoop loop;
@@ -108,10 +113,18 @@
     return ask(method, path, new byte[0]).getResponseCode();
   }
 
+  private String statusLine(String path) throws Exception {
+    try (InputStream in = ask("GET", path, new byte[0]).getInputStream()) {
+      return Cbor.readMap(in.readAllBytes()).orElseThrow().path("status").asText();
+    }
+  }
+
   @Test
   void routesByPathAndMethod() throws Exception {
     assertEquals(200, status("GET", "/submissions/run-1"));
     assertEquals(200, status("GET", "/status"));
+    assertEquals("fine", statusLine("/status"));
+    assertEquals("run-7 waits", statusLine("/status?job=run-7"));
     assertEquals(404, status("GET", "/nothing"));
     assertEquals(404, status("GET", "/submissions/run-1/other"));
     assertEquals(405, status("DELETE", "/submissions/run-1"));
