--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/Doors.java
@@ -0,0 +1,269 @@
+package org.ploverspindle.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.ploverspindle.Specs;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.front.Answer;
+import org.ploverspindle.front.Intake;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.pipelines.Pipelines;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressCounts;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Condition;
+import org.ploverspindle.state.StateStore.Txn;
+import org.ploverspindle.state.StateStore.TxnResult;
+import org.ploverspindle.state.TokenBucket;
+
+/** The users' side of several nodes over one state service; nobody leads. */
+final class Doors {
+  private static final long TIMEOUT_MS = 2_500;
+
+  /** One node's users' side. */
+  final class Node implements StateStore {
+    final SimClock.Process process = clock.new Process(random.nextInt(1_000_000), 1, 0);
+    final Replica replica = new Replica(process, this, Keys.PREFIX, 700);
+    final SpecIndex specs = new SpecIndex(replica);
+    final Pipelines pipelines = new Pipelines(process, replica, specs);
+    final Intake intake;
+    boolean cut;
+
+    Node(int i, Settings settings) {
+      Catalogue catalogue = new Catalogue(settings.zones());
+      catalogue.update(
+          List.of(
+              new MachineType(
+                  "small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, settings.zones())));
+      double share = settings.stateLimits().writeRps() * 0.12;
+      intake =
+          new Intake(
+              process,
+              this,
+              replica,
+              specs,
+              pipelines,
+              new ProgressCounts(replica),
+              catalogue,
+              settings,
+              new TokenBucket(process, Math.max(1, share), Math.max(3, share)),
+              "n" + i,
+              () -> {});
+      // What a node of seven has of sixty requests a second.
+      replica.spacing(220);
+      replica.start();
+    }
+
+    private <T> void call(Supplier<T> execute, T refused, T none, Consumer<T> then) {
+      boolean[] over = {false};
+      Consumer<T> once =
+          t -> {
+            if (!over[0]) {
+              over[0] = true;
+              process.schedule(0, () -> then.accept(t));
+            }
+          };
+      clock.at(TIMEOUT_MS, () -> once.accept(none));
+      Runnable work =
+          () -> {
+            T result = !cut && state.serves() ? execute.get() : refused;
+            if (random.nextDouble() >= lossShare) {
+              clock.at(1 + random.nextInt(8), () -> once.accept(result));
+            }
+          };
+      boolean late = random.nextDouble() < lossShare / 2;
+      clock.at(late ? 2_000 + random.nextInt(6_000) : 1 + random.nextInt(8), work);
+    }
+
+    @Override
+    public void txn(Txn txn, Consumer<TxnResult> then) {
+      call(() -> applied(txn), new TxnResult.Refused(503), new TxnResult.Unknown(), then);
+    }
+
+    @Override
+    public void page(String prefix, String after, int size, Consumer<PageResult> then) {
+      PageResult failed = new PageResult.Failed();
+      call(() -> state.page(prefix, after, size), failed, failed, then);
+    }
+
+    @Override
+    public void changesAfter(String prefix, long ledger, Consumer<News> then) {
+      News failed = new News.Failed();
+      call(() -> state.changesAfter(prefix, ledger), failed, failed, then);
+    }
+
+    @Override
+    public void openHold(long ttlMs, Consumer<Optional<Long>> then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void renewHold(long hold, Consumer<Renewal> then) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void closeHold(long hold) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** An answer, with how long it took. */
+  record Heard(int status, String state, long tookMs) {}
+
+  final SimClock clock = new SimClock();
+  final Random random;
+  final SimState state;
+  final List<Node> nodes = new ArrayList<>();
+  final Set<String> written = new HashSet<>();
+  private final Settings settings;
+  double lossShare;
+  int changes;
+
+  Doors(long seed, int count, Settings.StateLimits limits) {
+    random = new Random(seed);
+    World.Site small = World.Site.small(count, 10, List.of("a"));
+    settings =
+        World.settings(
+            "n0",
+            new World.Site(
+                count,
+                10,
+                small.zones(),
+                small.workers(),
+                limits,
+                small.cloud(),
+                small.teams(),
+                small.policy()));
+    state = new SimState(clock, limits);
+    for (int i = 0; i < count; i++) {
+      restart(i);
+    }
+    pass(2_000);
+  }
+
+  /** A process of the node that knows nothing yet. */
+  void restart(int i) {
+    if (i < nodes.size()) {
+      nodes.get(i).process.kill();
+      nodes.set(i, new Node(i, settings));
+    } else {
+      nodes.add(new Node(i, settings));
+    }
+  }
+
+  TxnResult applied(Txn txn) {
+    TxnResult result = state.txn(txn);
+    if (result instanceof TxnResult.Committed) {
+      changes += txn.changes().size();
+      txn.changes().forEach(c -> written.add(c.key()));
+    }
+    return result;
+  }
+
+  void pass(long ms) {
+    clock.runUntil(clock.nowMs() + ms);
+  }
+
+  /** As a leader writes it. */
+  void done(String uid) {
+    TxnResult result =
+        applied(
+            new Txn(
+                List.of(new Condition(Keys.done(uid), 0), new Condition(Keys.cancel(uid), 0)),
+                List.of(new Change.Put(Keys.done(uid), Cbor.map().put("tasks", 1)))));
+    if (!(result instanceof TxnResult.Committed)) {
+      throw new IllegalStateException(uid + " is not done: " + result);
+    }
+  }
+
+  static JobSpec job(String uid, List<String> awaits) {
+    JobSpec s = Specs.batch(uid, "c", "blue", Urgency.NORMAL, 1, 1, 1, 10, 0);
+    return new JobSpec(
+        s.uid(),
+        s.jobClass(),
+        s.team(),
+        s.shape(),
+        s.urgency(),
+        s.tasks(),
+        s.cores(),
+        s.accelerators(),
+        s.memoryGb(),
+        s.types(),
+        s.zone(),
+        s.oneZone(),
+        s.apart(),
+        s.spot(),
+        s.image(),
+        s.imageGb(),
+        s.expectedS(),
+        s.saveEveryS(),
+        s.saveCostS(),
+        s.dueS(),
+        awaits);
+  }
+
+  static ObjectNode body(String uid, List<String> awaits) {
+    return Cbor.readMap(World.encode(job(uid, awaits))).orElseThrow();
+  }
+
+  void submit(int node, String uid, List<String> awaits, Consumer<Heard> then) {
+    nodes.get(node).intake.submit(Cbor.write(body(uid, awaits)), heard(then));
+  }
+
+  void poll(int node, String uid, Consumer<Heard> then) {
+    nodes.get(node).intake.poll(uid, heard(then));
+  }
+
+  void withdraw(int node, String uid, Consumer<Heard> then) {
+    nodes.get(node).intake.withdraw(uid, heard(then));
+  }
+
+  Consumer<Answer> heard(Consumer<Heard> then) {
+    long askedMs = clock.nowMs();
+    return a ->
+        then.accept(
+            new Heard(
+                a.status(),
+                Cbor.readMap(a.body()).orElseThrow().path("status").asText(),
+                clock.nowMs() - askedMs));
+  }
+
+  /** Lets time pass until the answer is there. */
+  Heard wait(Consumer<Consumer<Heard>> ask) {
+    List<Heard> heard = new ArrayList<>();
+    ask.accept(heard::add);
+    long untilMs = clock.nowMs() + 10_000;
+    while (heard.isEmpty() && clock.nowMs() < untilMs) {
+      pass(1);
+    }
+    return heard.get(0);
+  }
+
+  Heard submit(int node, String uid, List<String> awaits) {
+    return wait(then -> submit(node, uid, awaits, then));
+  }
+
+  Heard poll(int node, String uid) {
+    return wait(then -> poll(node, uid, then));
+  }
+
+  Heard withdraw(int node, String uid) {
+    return wait(then -> withdraw(node, uid, then));
+  }
+}
