Pipelines among the stand-ins: nothing starts too early, and nothing later than need be

Random pipelines under crashes, outages, cuts, late writes and late copies of reports; a best effort first step that runs for the sake of an urgent last one, until that is cancelled; steps that follow each other within a report's time and without a read of the state; jobs that wait and hold nothing; records that can't be.

--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -278,7 +278,7 @@
                 job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
       }
     }
-    if (job.allDone() && !job.cancelled() && !job.awaiting()) {
+    if (job.allDone() && !job.cancelled()) {
       writer.changed(job, 0);
     }
   }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/PipelineTest.java
@@ -0,0 +1,350 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ploverspindle.Specs;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.jobs.Shape;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressRecord;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Txn;
+
+/**
+ * Jobs that await others, among stand-ins: what starts when, and what a cancellation takes along.
+ */
+class PipelineTest {
+  private static final int NODES = 3;
+  private static final double REPORT_S = 1.5;
+
+  private static JobSpec step(
+      World w,
+      Urgency urgency,
+      int tasks,
+      double cores,
+      double runS,
+      double dueS,
+      String... awaits) {
+    JobSpec spec = Specs.batch(w.newUid(), "step", "blue", urgency, tasks, cores, 0.1, runS, dueS);
+    return Specs.after(spec, awaits);
+  }
+
+  // ---- random pipelines under random troubles
+
+  private static JobSpec random(World w, Random r, List<String> awaits) {
+    boolean saves = r.nextInt(3) == 0;
+    JobSpec spec =
+        new JobSpec(
+            w.newUid(),
+            "class-" + r.nextInt(2),
+            r.nextBoolean() ? "red" : "blue",
+            Shape.BATCH,
+            Urgency.values()[r.nextInt(4)],
+            1 + r.nextInt(6),
+            1 + r.nextInt(3),
+            0,
+            1 + r.nextInt(4),
+            Optional.empty(),
+            Optional.empty(),
+            r.nextInt(5) == 0,
+            r.nextInt(5) == 0,
+            r.nextInt(4) > 0,
+            "image-" + r.nextInt(3),
+            1,
+            1 + r.nextInt(8),
+            saves ? 3 : 0,
+            saves ? 1 : 0,
+            r.nextBoolean() ? OptionalDouble.of(90) : OptionalDouble.empty(),
+            List.of());
+    return Specs.after(spec, awaits.toArray(String[]::new));
+  }
+
+  /** One after another, each as soon as all before are accepted, or the last once they are over. */
+  private static void submit(World w, Random r, List<String> before, int left, boolean lastLate) {
+    boolean accepted = before.stream().allMatch(w.checker::isAccepted);
+    boolean over = before.stream().noneMatch(u -> w.checker.finalWord(u).isEmpty());
+    if (!accepted || left == 1 && lastLate && !over) {
+      w.clock.at(500, () -> submit(w, r, before, left, lastLate));
+      return;
+    }
+    List<String> awaits = new ArrayList<>();
+    for (String uid : before) {
+      if (r.nextInt(3) > 0) {
+        awaits.add(uid);
+      }
+    }
+    JobSpec spec = random(w, r, awaits.isEmpty() && !before.isEmpty() ? before : awaits);
+    w.user(spec);
+    if (r.nextInt(12) == 0) {
+      w.clock.at(500 + r.nextInt(40_000), () -> w.cancel(spec.uid(), 0));
+    }
+    if (left > 1) {
+      List<String> then = new ArrayList<>(before);
+      then.add(spec.uid());
+      w.clock.at(200, () -> submit(w, r, then, left - 1, lastLate));
+    }
+  }
+
+  private static void trouble(World w) {
+    Random r = w.random;
+    int node = r.nextInt(NODES);
+    long forMs = 1_000 + r.nextInt(20_000);
+    switch (r.nextInt(8)) {
+      case 0 -> w.crash(node, 100 + r.nextInt(4_000));
+      case 1 -> w.crash(Math.max(0, w.leader()), 100 + r.nextInt(4_000));
+      case 2 -> {
+        for (int i = 0; i < NODES; i++) {
+          w.crash(i, 100 + r.nextInt(4_000));
+        }
+      }
+      case 3 -> {
+        w.state.outage(true);
+        w.clock.at(forMs, () -> w.state.outage(false));
+      }
+      case 4 -> {
+        w.network.cut("n" + node, World.STATE, true);
+        w.clock.at(forMs, () -> w.network.cut("n" + node, World.STATE, false));
+      }
+      case 5 -> {
+        List<SimWorker> all = w.cloud.workers();
+        if (!all.isEmpty()) {
+          w.cloud.die(all.get(r.nextInt(all.size())).host());
+        }
+      }
+      case 6 -> {
+        w.network.copyShare(0.05 + r.nextDouble() * 0.3);
+        w.clock.at(forMs, () -> w.network.copyShare(0));
+      }
+      default -> {
+        w.network.lateShare(0.05 + r.nextDouble() * 0.2);
+        w.clock.at(forMs, () -> w.network.lateShare(0));
+      }
+    }
+  }
+
+  private static World play(long seed, int troubles) {
+    World w = new World(seed, NODES, 14, List.of("a", "b"));
+    Random r = new Random(seed * 31 + 7);
+    for (int i = 0; i < 14; i++) {
+      int steps = 2 + r.nextInt(5);
+      boolean lastLate = r.nextInt(3) == 0;
+      w.clock.at(3_000 + r.nextInt(120_000), () -> submit(w, r, List.of(), steps, lastLate));
+    }
+    for (int i = 0; i < troubles; i++) {
+      w.clock.at(10_000 + r.nextInt(190_000), () -> trouble(w));
+    }
+    w.clock.at(240_000, w::troublesAreOver);
+    w.clock.runUntil(480_000);
+    w.checker.endOfDay();
+    return w;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void rulesHoldForPipelinesUnderRandomTroubles(long seed) {
+    World w = play(seed, 12);
+    assertEquals(List.of(), w.checker.broken(), "seed " + seed);
+    assertTrue(w.checker.starts() > 60, "seed " + seed + ": " + w.checker.starts() + " starts");
+    assertEquals(0, w.checker.neverBegun(), "seed " + seed + ": jobs that were ready never began");
+  }
+
+  // ---- one deadline
+
+  /** Two machines, and normal work that keeps them busy for minutes. */
+  private static World busy() {
+    World w = new World(3, NODES, 2, List.of("a"));
+    for (int i = 0; i < 60; i++) {
+      w.clock.at(3_000, () -> w.user(step(w, Urgency.NORMAL, 4, 4, 20, 0)));
+    }
+    return w;
+  }
+
+  @Test
+  void aFirstStepRunsBeforeOtherWorkForTheSakeOfTheLast() {
+    World alone = busy();
+    JobSpec index = step(alone, Urgency.BEST_EFFORT, 4, 4, 10, 0);
+    alone.clock.at(60_000, () -> alone.user(index));
+    alone.clock.runUntil(140_000);
+    assertEquals(-1, alone.checker.begunMs(index.uid()), "without a last job it waits");
+
+    World w = busy();
+    JobSpec first = step(w, Urgency.BEST_EFFORT, 4, 4, 10, 0);
+    JobSpec last = step(w, Urgency.HIGH, 1, 1, 5, 60, first.uid());
+    w.clock.at(60_000, () -> w.user(first));
+    w.clock.at(80_000, () -> w.user(last));
+    w.clock.runUntil(79_000);
+    assertEquals(-1, w.checker.begunMs(first.uid()));
+    w.clock.runUntil(140_000);
+    long begun = w.checker.begunMs(first.uid());
+    assertTrue(begun >= 0 && begun < 95_000, "it began at " + begun);
+    assertTrue(w.checker.isDone(last.uid()));
+    assertEquals(List.of(), w.checker.broken());
+  }
+
+  @Test
+  void itNoLongerDoesOnceTheLastIsCancelled() {
+    World w = busy();
+    JobSpec first = step(w, Urgency.BEST_EFFORT, 80, 4, 10, 0);
+    JobSpec last = step(w, Urgency.HIGH, 1, 1, 5, 600, first.uid());
+    w.clock.at(60_000, () -> w.user(first));
+    w.clock.at(62_000, () -> w.user(last));
+    w.clock.at(95_000, () -> w.cancel(last.uid(), 0));
+    w.clock.runUntil(95_000);
+    int before = w.checker.tasksDone(first.uid());
+    assertTrue(before >= 3, before + " tasks are done");
+    w.clock.runUntil(112_000);
+    int after = w.checker.tasksDone(first.uid());
+    w.clock.runUntil(150_000);
+    int later = w.checker.tasksDone(first.uid());
+    assertTrue(later - after <= 1, "after the cancellation " + (later - after) + " more are done");
+    assertEquals(List.of(), w.checker.broken());
+  }
+
+  // ---- no later than need be
+
+  @Test
+  void theNextStepStartsWithinAReportsTime() {
+    World w = new World(8, NODES, 14, List.of("a"));
+    List<JobSpec> steps = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      String[] before = i == 0 ? new String[0] : new String[] {steps.get(i - 1).uid()};
+      JobSpec s = step(w, i == 11 ? Urgency.HIGH : Urgency.BEST_EFFORT, 3, 1, 5, 0, before);
+      steps.add(s);
+      w.clock.at(20_000 + i * 1_000, () -> w.user(s));
+    }
+    w.clock.runUntil(220_000);
+    assertEquals(List.of(), w.checker.broken());
+    for (int i = 1; i < 12; i++) {
+      long gapMs = w.checker.begunMs(steps.get(i).uid()) - w.checker.doneMs(steps.get(i - 1).uid());
+      // An end is reported within half a second, and an image is there within 1.7 s.
+      assertTrue(gapMs > 0 && gapMs < REPORT_S * 1_000 + 2_200, "step " + i + ": " + gapMs + " ms");
+    }
+  }
+
+  @Test
+  void theNextStepWaitsForNoReadOfTheState() {
+    World w = new World(8, NODES, 14, List.of("a"));
+    JobSpec first = step(w, Urgency.NORMAL, 1, 1, 20, 0);
+    JobSpec second = step(w, Urgency.NORMAL, 1, 1, 5, 0, first.uid());
+    w.clock.at(3_000, () -> w.user(first));
+    w.clock.at(6_000, () -> w.user(second));
+    w.clock.runUntil(10_000);
+    while (w.checker.begunMs(first.uid()) < 0) {
+      w.clock.runUntil(w.clock.nowMs() + 100);
+    }
+    w.clock.runUntil(w.checker.begunMs(first.uid()) + 19_800);
+    w.refuse(w.leader(), World.Refusal.READS, true);
+    w.clock.runUntil(w.clock.nowMs() + 9_000);
+    long gapMs = w.checker.begunMs(second.uid()) - w.checker.doneMs(first.uid());
+    assertTrue(gapMs > 0 && gapMs < REPORT_S * 1_000 + 2_200, gapMs + " ms");
+    assertEquals(List.of(), w.checker.broken());
+  }
+
+  // ---- waiting
+
+  @Test
+  void whatWaitsForOthersHoldsNothingAndIsNoDemand() {
+    World w = new World(9, NODES, 14, List.of("a"));
+    JobSpec first = step(w, Urgency.NORMAL, 1, 1, 120, 0);
+    // Team red may use 24 cores, and 8 are guaranteed.
+    JobSpec waits =
+        Specs.after(
+            Specs.batch(w.newUid(), "large", "red", Urgency.HIGH, 60, 4, 0.1, 10, 100),
+            first.uid());
+    JobSpec other = Specs.batch(w.newUid(), "o", "red", Urgency.BEST_EFFORT, 6, 4, 0.1, 10, 0);
+    w.clock.at(3_000, () -> w.user(first));
+    w.clock.at(6_000, () -> w.user(waits));
+    w.clock.at(60_000, () -> w.user(other));
+    w.clock.runUntil(55_000);
+    assertTrue(w.cloud.rented() <= 2, w.cloud.rented() + " machines for one task");
+    w.clock.runUntil(100_000);
+    assertTrue(w.checker.isDone(other.uid()), "all that its team may use was free for it");
+    assertEquals(-1, w.checker.begunMs(waits.uid()));
+    w.clock.runUntil(200_000);
+    long begun = w.checker.begunMs(waits.uid());
+    assertTrue(begun >= w.checker.doneMs(first.uid()) && begun < 160_000, "it began at " + begun);
+    assertEquals(List.of(), w.checker.broken());
+  }
+
+  // ---- new leaders
+
+  @Test
+  void readinessIsWorkedOutAgainByEachNewLeader() {
+    World w = new World(10, NODES, 14, List.of("a"));
+    JobSpec first = step(w, Urgency.NORMAL, 2, 1, 25, 0);
+    JobSpec second = step(w, Urgency.NORMAL, 2, 1, 25, 0, first.uid());
+    JobSpec third = step(w, Urgency.HIGH, 2, 1, 5, 0, first.uid(), second.uid());
+    w.clock.at(3_000, () -> w.user(first));
+    w.clock.at(5_000, () -> w.user(second));
+    w.clock.at(7_000, () -> w.user(third));
+    for (int at = 12; at < 100; at += 11) {
+      w.clock.at(at * 1_000, () -> w.crash(Math.max(0, w.leader()), 2_000));
+    }
+    w.clock.runUntil(200_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(w.checker.isDone(third.uid()));
+  }
+
+  /** Records say that a task is out whose job awaits others: it counts, and none is started. */
+  @Test
+  void afterRecordsThatCannotBeNothingNewOfTheJobStarts() {
+    World w = new World(11, NODES, 14, List.of("a"));
+    JobSpec first = step(w, Urgency.NORMAL, 2, 1, 60, 0);
+    JobSpec second = step(w, Urgency.HIGH, 3, 1, 5, 0, first.uid());
+    w.clock.at(3_000, () -> w.user(first));
+    w.clock.at(5_000, () -> w.user(second));
+    w.clock.at(
+        30_000,
+        () -> {
+          SimWorker m = w.cloud.workers().get(0);
+          ProgressRecord.Host host =
+              new ProgressRecord.Host(
+                  m.host(), m.place().type(), m.place().zone(), m.place().spot());
+          ProgressRecord record =
+              new ProgressRecord(
+                  new BitSet(), List.of(new ProgressRecord.Live(1, 77, host, 1)), 1, 0);
+          Change put = new Change.Put(Keys.progress(second.uid(), 0), record.encode(0, 1));
+          w.state.txn(new Txn(List.of(), List.of(put)));
+          w.crash(w.leader(), 5_000);
+        });
+    w.clock.runUntil(160_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertTrue(w.checker.doneMs(first.uid()) > 40_000);
+    assertTrue(w.checker.isDone(second.uid()));
+  }
+
+  /** Were it done by such records, it would still be aborted with what it awaits. */
+  @Test
+  void whatAwaitsOthersIsNotDoneBeforeThem() {
+    World w = new World(12, NODES, 14, List.of("a"));
+    JobSpec first = step(w, Urgency.NORMAL, 2, 1, 90, 0);
+    JobSpec second = step(w, Urgency.HIGH, 3, 1, 5, 0, first.uid());
+    w.clock.at(3_000, () -> w.user(first));
+    w.clock.at(5_000, () -> w.user(second));
+    w.clock.at(
+        30_000,
+        () -> {
+          BitSet all = new BitSet();
+          all.set(0, 3);
+          ProgressRecord record = new ProgressRecord(all, List.of(), 0, 0);
+          Change put = new Change.Put(Keys.progress(second.uid(), 0), record.encode(3, 0));
+          w.state.txn(new Txn(List.of(), List.of(put)));
+          w.crash(w.leader(), 5_000);
+        });
+    w.clock.at(60_000, () -> w.cancel(first.uid(), 0));
+    w.clock.runUntil(100_000);
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals("aborted", w.checker.finalWord(second.uid()));
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -106,6 +106,10 @@
     return gone;
   }
 
+  Checker.Place place() {
+    return place;
+  }
+
   String address() {
     return place.host() + ":9000";
   }
