--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -26,6 +26,8 @@
 import org.ploverspindle.loop.DutyTimes;
 import org.ploverspindle.loop.Scheduler;
 import org.ploverspindle.loop.Scope;
+import org.ploverspindle.pipelines.DependencyGraph;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.placement.Aims;
 import org.ploverspindle.placement.Arrivals;
 import org.ploverspindle.placement.Demand;
@@ -86,6 +88,7 @@
       StateStore store,
       Replica replica,
       SpecIndex specs,
+      Pipelines pipelines,
       CloudApi cloud,
       WorkerLine workers,
       Catalogue catalogue,
@@ -109,6 +112,8 @@
   private final Reach reach;
   private final Aims aims;
   private final Arrivals arrivals = new Arrivals();
+  private final PassedBack passedBack;
+  private final List<Job> newlyReady = new ArrayList<>();
   private final ProgressWriter writer;
   private final ReportDesk desk;
   private final Placer placer;
@@ -156,6 +161,13 @@
     this.blame = new Blame(this::works);
     this.reach = new Reach(fleet, term, with.settings());
     this.aims = new Aims(with.settings().objectives());
+    this.passedBack =
+        new PassedBack(
+            with.pipelines().graph(),
+            uid -> with.specs().get(uid).flatMap(s -> SpecRecord.decode(uid, s.value())),
+            jobs,
+            estimates,
+            aims);
     this.placer =
         new Placer(
             with.catalogue(),
@@ -189,9 +201,17 @@
         .sorted(Comparator.comparingLong(spec -> SpecRecord.acceptedWallMs(spec.value())))
         .forEach(this::remember);
     RecordedProgress recorded = new RecordedProgress(with.replica(), writer);
-    for (Job job : jobs.loadAll()) {
+    DependencyGraph graph = with.pipelines().graph();
+    for (Job job : jobs.loadAll(uid -> graph.isReady(uid) || recorded.speaksOf(uid))) {
+      if (!graph.isReady(job.uid())) {
+        LOG.error("tasks of job {} are recorded before what it awaits is done", job.uid());
+        job.await();
+      } else if (graph.awaitsOthers(job.uid())) {
+        job.readySince(readyWallMs(job));
+      }
       rebuild(job, recorded.of(job), now);
     }
+    passedBack.update(now);
     if (recorded.logDamaged()) {
       placingFromMs = now + with.timing().takeoverSilenceMs();
     }
@@ -202,6 +222,7 @@
         term.token());
     duties.add(with.replica().listen(this::recordChanged));
     duties.add(with.specs().listen(this::accepted));
+    duties.add(graph.listen(new GraphEvents()));
     duties.add(rentals.start());
     duties.add(with.scheduler().every(400, this::tick));
     duties.add(with.scheduler().every(100, this::releaseHeld));
@@ -265,6 +286,10 @@
     }
   }
 
+  private long readyWallMs(Job job) {
+    return with.pipelines().readyWallMs(job.uid()).orElse(job.acceptedWallMs());
+  }
+
   // ---- changes made by any node
 
   private void recordChanged(String key, Optional<Entry> entry) {
@@ -277,34 +302,81 @@
   }
 
   private void accepted(SpecIndex.Spec spec) {
-    if (!closed) {
-      LOG.debug("job {} is here", spec.uid());
-      jobs.add(spec).ifPresent(this::arrived);
-      rentals.scanSoon();
-      planPlacing();
+    if (closed) {
+      return;
+    }
+    LOG.debug("job {} is here", spec.uid());
+    if (with.pipelines().graph().awaitsOthers(spec.uid())) {
+      passedBack.changed();
+      if (with.pipelines().graph().isReady(spec.uid())) {
+        ready(spec);
+      }
+      return;
+    }
+    jobs.add(spec).ifPresent(this::arrived);
+    rentals.scanSoon();
+    planPlacing();
+  }
+
+  /** All that the job awaited is done: it comes as a new one does. */
+  private void ready(SpecIndex.Spec spec) {
+    Optional<Job> known = jobs.get(spec.uid());
+    if (known.isPresent()) {
+      Job job = known.get();
+      if (job.awaiting()) {
+        job.readySince(readyWallMs(job));
+        if (!job.over()) {
+          writer.changed(job, 0);
+        }
+      }
+    } else {
+      jobs.add(spec)
+          .ifPresent(
+              job -> {
+                LOG.debug("what job {} awaited is done", job.uid());
+                job.readySince(readyWallMs(job));
+                newlyReady.add(job);
+                passedBack.changed();
+              });
     }
+    rentals.scanSoon();
+    planPlacing();
+  }
+
+  /**
+   * What is decided next goes by what jobs pass back now. All that became ready at once, of which
+   * there may be many, is looked at once.
+   */
+  private void updatePassedBack() {
+    passedBack.update(with.scheduler().nowMs());
+    newlyReady.forEach(this::arrived);
+    newlyReady.clear();
   }
 
   /** What came under earlier leaders tells how much will come under this one. */
   private void remember(SpecIndex.Spec spec) {
+    if (with.pipelines().graph().awaitsOthers(spec.uid())) {
+      // It came when it became ready, which nobody has recorded.
+      return;
+    }
     long wallMs = SpecRecord.acceptedWallMs(spec.value());
     arrivals.came(wallMs);
     if (with.scheduler().wallMs() - wallMs < REMEMBERED_MS) {
       SpecRecord.decode(spec.uid(), spec.value())
-          .ifPresent(r -> arrivals.work(r.spec(), r.acceptedWallMs()));
+          .ifPresent(r -> arrivals.work(r.spec(), r.spec().dueS(), r.acceptedWallMs()));
     }
   }
 
   private void arrived(Job job) {
-    arrivals.came(job.acceptedWallMs());
-    arrivals.work(job.spec(), job.acceptedWallMs());
+    arrivals.came(job.sinceWallMs());
+    arrivals.work(job.spec(), job.dueS(), job.sinceWallMs());
     Resources whole =
         new Resources(
             job.perTask().cores() * job.spec().tasks(),
             job.perTask().accelerators() * job.spec().tasks(),
             0);
-    if (job.spec().urgency().compareTo(Urgency.HIGH) <= 0
-        || teams.guarantees(job.team(), whole) && job.spec().dueS().isEmpty()) {
+    if (job.urgency().compareTo(Urgency.HIGH) <= 0
+        || teams.guarantees(job.team(), whole) && job.dueS().isEmpty()) {
       arrivals.pressing(job);
     }
   }
@@ -435,8 +507,7 @@
   private void launchDirectly(List<Placement> placements) {
     Set<Machine> machines = new LinkedHashSet<>();
     for (Placement p : placements) {
-      if (p.phase() == Placement.Phase.READY
-          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+      if (p.phase() == Placement.Phase.READY && p.job().urgency().compareTo(Urgency.HIGH) <= 0) {
         machines.add(p.machine());
       }
     }
@@ -551,6 +622,7 @@
 
   private void preempt() {
     if (mayDecide()) {
+      updatePassedBack();
       int stopped = placer.preempt(with.scheduler().nowMs(), with.scheduler().wallMs());
       if (stopped > 0) {
         LOG.info("{} tasks are stopped to make room for pressing jobs", stopped);
@@ -585,6 +657,7 @@
                 placingPlanned = false;
                 long now = with.scheduler().nowMs();
                 if (mayDecide() && now >= placingFromMs) {
+                  updatePassedBack();
                   times.run("placing", () -> placer.run(now, with.scheduler().wallMs()));
                   placingTookMs = with.scheduler().nowMs() - now;
                 }
@@ -634,6 +707,8 @@
     public void finished(Job job) {
       LOG.info("job {} is done", job.uid());
       tidy(job);
+      // The write has been carried out: what awaits it need not wait for the next read.
+      with.pipelines().graph().done(job.uid());
     }
 
     @Override
@@ -642,6 +717,24 @@
     }
   }
 
+  private final class GraphEvents implements DependencyGraph.Listener {
+    @Override
+    public void ready(String uid) {
+      if (!closed) {
+        with.specs().get(uid).ifPresent(Steward.this::ready);
+      }
+    }
+
+    /** Nothing of it has begun, unless records are damaged; others need no longer press for it. */
+    @Override
+    public void aborted(String uid) {
+      if (!closed) {
+        passedBack.changed();
+        jobs.get(uid).ifPresent(Steward.this::cancel);
+      }
+    }
+  }
+
   private final class DeskEvents implements ReportDesk.Listener {
     @Override
     public void completed(Placement p, long nowMs) {
@@ -687,14 +780,14 @@
     public void moved(Placement p) {
       if (LOG.isDebugEnabled()
           && p.phase() == Placement.Phase.RUNNING
-          && p.job().spec().urgency().compareTo(Urgency.HIGH) <= 0) {
+          && p.job().urgency().compareTo(Urgency.HIGH) <= 0) {
         // For people who ask why a pressing task waited.
         long now = with.scheduler().nowMs();
         LOG.debug(
-            "{}/{} runs {} ms after its acceptance; {} ms after its record, {} ms after its launch",
+            "{}/{} runs {} ms after it could first; {} ms after its record, {} ms after its launch",
             p.job().uid(),
             p.task(),
-            with.scheduler().wallMs() - p.job().acceptedWallMs(),
+            with.scheduler().wallMs() - p.job().sinceWallMs(),
             now - p.recordedMs(),
             now - p.sentMs());
       }
@@ -731,6 +824,9 @@
     public List<Demand.Wanted> wanted(List<Demand.Offer> offers, List<Demand.Coming> coming) {
       long now = with.scheduler().nowMs();
       long wall = with.scheduler().wallMs();
+      updatePassedBack();
+      // Work that is about to become ready could be counted here, from what its dependencies'
+      // tasks have left to run; whether renting ahead for it pays is for measurement to say.
       List<Machine> usable = fleet.all().stream().filter(m -> m.usable(now, 60_000)).toList();
       Demand demand = new Demand(with.catalogue(), teams, estimates, aims, with.policy().drainS());
       List<Demand.Wanted> wanted =
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -16,6 +16,7 @@
 import org.ploverspindle.loop.Scope;
 import org.ploverspindle.peers.PeerRecord;
 import org.ploverspindle.peers.Peers;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
@@ -48,6 +49,7 @@
   private final Timing timing;
   private final Election election;
   private final Intake intake;
+  private final Pipelines pipelines;
   private final TokenBucket writes;
   private final Steward.Surroundings surroundings;
   private final Peers peers;
@@ -90,6 +92,7 @@
             Math.max(1, settings.stateLimits().writeRps() * ACCEPTING_SHARE),
             Math.max(3, settings.stateLimits().writeRps() * ACCEPTING_SHARE));
     SpecIndex specs = new SpecIndex(replica);
+    this.pipelines = new Pipelines(loop, replica, specs);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
     this.intake =
@@ -98,6 +101,7 @@
             store,
             replica,
             specs,
+            pipelines,
             counts,
             catalogue,
             settings,
@@ -106,8 +110,8 @@
             this::changedForLeader);
     this.surroundings =
         new Steward.Surroundings(
-            loop, store, replica, specs, cloud, workers, catalogue, settings, policy, timing,
-            random, writes);
+            loop, store, replica, specs, pipelines, cloud, workers, catalogue, settings, policy,
+            timing, random, writes);
   }
 
   /** What was written here is news for whoever leads. */
@@ -318,6 +322,13 @@
                 + ready
                 + " leader="
                 + election.leaderName().orElse("none")
+                + " waiting="
+                + pipelines.waiting()
                 + steward.map(s -> " token=" + s.term().token() + " " + s.summary()).orElse("")));
   }
+
+  @Override
+  public void jobStatus(String uid, Consumer<Answer> then) {
+    then.accept(Answer.text(intake.explain(uid)));
+  }
 }
