--- a/src/test/java/org/ploverspindle/sim/RulesSweep.java
+++ b/src/test/java/org/ploverspindle/sim/RulesSweep.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -11,17 +12,39 @@
  * that fails here gets a name in {@link RulesTest}.
  */
 class RulesSweep {
-  @Test
-  void manySeeds() {
-    int seeds = Integer.getInteger("seeds", 100);
-    int first = Integer.getInteger("first", 1);
+  private static final int SEEDS = Integer.getInteger("seeds", 100);
+  private static final int FIRST = Integer.getInteger("first", 1);
+
+  private static void sweep(int first, int seeds, LongFunction<World> play) {
     List<String> failed = new ArrayList<>();
     for (long seed = first; seed < first + seeds; seed++) {
-      World w = RulesTest.play(seed, 14);
+      World w = play.apply(seed);
       if (!w.checker.broken().isEmpty()) {
         failed.add(seed + ": " + w.checker.broken().get(0));
+      } else if (w.checker.neverBegun() > 0) {
+        failed.add(seed + ": " + w.checker.neverBegun() + " accepted jobs never began");
       }
     }
     assertEquals(List.of(), failed);
   }
+
+  @Test
+  void manySeeds() {
+    sweep(FIRST, SEEDS, seed -> RulesTest.play(seed, 14));
+  }
+
+  @Test
+  void manySeedsOfPairs() {
+    sweep(FIRST, SEEDS, seed -> RulesTest.playPairs(seed, 9));
+  }
+
+  /** Each trouble with each, by its number: first, then second, with the seed given. */
+  @Test
+  void everyMeeting() {
+    Troubles[] all = Troubles.values();
+    sweep(
+        0,
+        all.length * all.length,
+        n -> RulesTest.playMeeting(FIRST, all[(int) n / all.length], all[(int) n % all.length]));
+  }
 }
