--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -415,15 +415,21 @@
     if (t.coresMax() <= 0) {
       return;
     }
+    double cores = coresInUse(team);
+    if (cores > t.coresMax() + 1e-6) {
+      report(Rule.QUOTA, team + " uses " + cores);
+    }
+  }
+
+  /** What the team's tasks on machines take. */
+  double coresInUse(String team) {
     double cores = 0;
     for (JobSeen job : jobs.values()) {
       if (job.spec.team().equals(team)) {
         cores += job.on.size() * job.spec.cores();
       }
     }
-    if (cores > t.coresMax() + 1e-6) {
-      report(Rule.QUOTA, team + " uses " + cores);
-    }
+    return cores;
   }
 
   void leaves(String uid, int task, Place place) {
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -133,16 +133,20 @@
   /**
    * Packets between the two are held back and delivered in order when that ends, long after their
    * senders gave up. Only a few connections are open; what opens another one is lost.
+   *
+   * @return how many packets are delivered now
    */
-  void hold(String a, String b, boolean now) {
+  int hold(String a, String b, boolean now) {
     if (now) {
       held.putIfAbsent(pair(a, b), new ArrayList<>());
-    } else {
-      List<Runnable> packets = held.remove(pair(a, b));
-      if (packets != null) {
-        packets.forEach(p -> clock.at(1, p));
-      }
+      return 0;
+    }
+    List<Runnable> packets = held.remove(pair(a, b));
+    if (packets == null) {
+      return 0;
     }
+    packets.forEach(p -> clock.at(1, p));
+    return packets.size();
   }
 
   private boolean heldBack(String from, String to, Runnable packet) {
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -95,6 +95,15 @@
     return place.host();
   }
 
+  String zone() {
+    return place.zone();
+  }
+
+  /** Its sessions so far: one more with each lease that ran out. */
+  long tenure() {
+    return tenure;
+  }
+
   void sick(boolean now) {
     sick = now;
   }
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -66,6 +66,9 @@
   private double cancelAtEnd;
   private boolean closeLooks;
   private final OddRequests odd;
+  private final Map<Integer, Long> carriedOut = new HashMap<>();
+  private int overtakenWrites;
+  private int copiesDelivered;
 
   /** How a controller loses the state service, its other controllers beside. */
   enum CutMode {
@@ -213,6 +216,21 @@
     return -1;
   }
 
+  /** Does the node believe that it leads? Cut off, it may do so beside another one. */
+  boolean leads(int i) {
+    return alive(i) && controllers.get(i).leads();
+  }
+
+  /** Unanswered transactions that were carried out after newer ones of the same controller. */
+  int overtakenWrites() {
+    return overtakenWrites;
+  }
+
+  /** How many reports came again, to every controller. */
+  int copiesDelivered() {
+    return copiesDelivered;
+  }
+
   /** How many terms there have been. */
   long terms() {
     return (state.highestToken() + Term.SPAN - 1) / Term.SPAN;
@@ -410,10 +428,12 @@
 
     /** Nobody hears what becomes of it. */
     private void executeUnanswered(Txn txn, long delayMs, Consumer<TxnResult> then) {
+      long before = carriedOut.getOrDefault(i, 0L);
       clock.at(
           delayMs,
           () -> {
             if (serves(Refusal.WRITES)) {
+              overtakenWrites += carriedOut.getOrDefault(i, 0L) > before ? 1 : 0;
               state.txn(txn);
             }
           });
@@ -430,7 +450,13 @@
       }
       call(
           Refusal.WRITES,
-          () -> state.txn(txn),
+          () -> {
+            TxnResult result = state.txn(txn);
+            if (result instanceof TxnResult.Committed) {
+              carriedOut.merge(i, 1L, Long::sum);
+            }
+            return result;
+          },
           new TxnResult.Refused(503),
           new TxnResult.Unknown(),
           then);
@@ -699,6 +725,7 @@
   }
 
   private void toEveryController(byte[] body) {
+    copiesDelivered++;
     for (int i = 0; i < nodes; i++) {
       Controller c = controllers.get(i);
       processes.get(i).schedule(0, () -> c.checkin(body, answer -> {}));
