An attempt that goes on after its task is done is recorded and stopped

A machine was cut off past its lease just as a task completed there; the task began again elsewhere, and then the held report came. The task was marked done, and with that the second attempt left the records, though it went on: if the leader then ended while that machine could not be asked, the next one did not count it, and a team at its limit went over it.

Records now say of a done task also where an attempt of it is; that attempt is stopped; and the end of a job is written once none of its attempts can be anywhere. That may delay the word "done" until the machine answers or its lease is over, in this case alone.

--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -163,7 +163,8 @@
 
   /** The task's progress changed. */
   public void changed(Job job, int task) {
-    if (job.allDone() && !job.cancelled()) {
+    // While an attempt of a done task may still be somewhere, it is recorded: it takes its room.
+    if (job.allDone() && job.live().isEmpty() && !job.cancelled()) {
       ending.putIfAbsent(job.uid(), job);
     } else {
       dirty.computeIfAbsent(job, j -> new BitSet()).set(task);
@@ -405,7 +406,8 @@
           s.done().set(t);
         } else if (p == null) {
           cleared.set(t);
-        } else {
+        }
+        if (p != null) {
           s.placements().add(p);
           live.add(live(p));
         }
@@ -444,7 +446,8 @@
         Placement p = job.liveAt(task);
         if (job.done().get(task)) {
           s.done().set(task);
-        } else if (p != null) {
+        }
+        if (p != null) {
           s.placements().add(p);
           live.add(live(p));
         }
--- a/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
+++ b/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
@@ -85,7 +85,6 @@
       }
     }
     state.done.clear(job.spec().tasks(), Math.max(job.spec().tasks(), state.done.length()));
-    state.done.stream().forEach(state.live::remove);
     writer.loadedDone(job, state.done);
     return state;
   }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -255,6 +255,7 @@
         fleet.place(
             new Placement(
                 job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
+        stopIfDone(job, l.task());
       }
     }
     if (job.allDone() && !job.cancelled()) {
@@ -262,6 +263,14 @@
     }
   }
 
+  /** An attempt that goes on although a report that came late showed the task done by another. */
+  private static void stopIfDone(Job job, int task) {
+    Placement p = job.liveAt(task);
+    if (p != null && job.done().get(task)) {
+      p.stop(0);
+    }
+  }
+
   // ---- changes made by any node
 
   private void recordChanged(String key, Optional<Entry> entry) {
@@ -642,6 +651,7 @@
         return;
       }
       job.markDone(task);
+      stopIfDone(job, task);
       writer.changed(job, task);
       planPlacing();
     }
