A submission that lacks its bundle is malformed

Cause: bundle was read as a field that may be null, which the protocol says of flavours, site and due_s only; a job without it was answered 201.

--- a/src/main/java/org/ploverspindle/front/SubmissionCodec.java
+++ b/src/main/java/org/ploverspindle/front/SubmissionCodec.java
@@ -92,7 +92,7 @@
         flag("one_zone"),
         flag("apart"),
         flag("loaners"),
-        optionalText("bundle").orElse(""),
+        text("bundle"),
         amount("image_gb"),
         amount("expected_s"),
         amount("save_every_s"),
--- a/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
+++ b/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
@@ -76,7 +76,9 @@
         "due_s|-3",
         "owner|\"\"",
         "expected_s|null",
-        "loaners|null"
+        "loaners|null",
+        "bundle|null",
+        "bundle|\"\""
       })
   void refusesWhatIsInvalid(String field, String value) throws Exception {
     ObjectNode body = good();
