Submissions behind a batch that was over already go out by themselves

Cause: while a write of submissions is under way, those that come meanwhile plan no write of their own, and after a conflict none was planned for them unless a job of the batch was tried again. If all of the batch were over (cancelled or done through another node), the rest waited for the next submission of another job at that node; repeats of their own users only joined them. IntakeTest failed before: nothing was under way after a second.

--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -375,6 +375,10 @@
     creating = false;
     if (result instanceof TxnResult.Conflict) {
       barrier(ok -> batch.forEach(c -> afterConflict(c, ok)));
+      // What came meanwhile waits for nobody: all of the batch may be over already.
+      if (!creations.isEmpty()) {
+        planFlush(4);
+      }
       return;
     }
     batch.forEach(c -> pending.remove(c.spec().uid()));
--- /dev/null
+++ b/src/test/java/org/ploverspindle/front/HeldStore.java
@@ -0,0 +1,159 @@
+package org.ploverspindle.front;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.ploverspindle.loop.Cancellable;
+import org.ploverspindle.loop.Rank;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.state.StateStore;
+
+/**
+ * A state service, with time, whose transactions wait until the test has them answered: what comes
+ * while one is under way is what these tests are about. Reads are answered at once.
+ */
+final class HeldStore implements StateStore, Scheduler {
+  private record Timer(long atMs, long order, Runnable work) implements Comparable<Timer> {
+    @Override
+    public int compareTo(Timer o) {
+      return atMs != o.atMs ? Long.compare(atMs, o.atMs) : Long.compare(order, o.order);
+    }
+  }
+
+  /** A transaction that was sent and not answered. */
+  record Sent(Txn txn, Consumer<TxnResult> then) {}
+
+  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private final Map<String, Long> stamps = new HashMap<>();
+  private final List<Changed> history = new ArrayList<>();
+  private final Deque<Sent> sent = new ArrayDeque<>();
+  private long nowMs;
+  private long order;
+  private long ledger = 1;
+
+  void run(long forMs) {
+    long endMs = nowMs + forMs;
+    while (!timers.isEmpty() && timers.peek().atMs() <= endMs) {
+      Timer t = timers.poll();
+      nowMs = t.atMs();
+      t.work().run();
+    }
+    nowMs = endMs;
+  }
+
+  int underWay() {
+    return sent.size();
+  }
+
+  /** The oldest transaction without an answer. */
+  Txn oldest() {
+    return sent.element().txn();
+  }
+
+  /** Carries the oldest one out and has it answered. */
+  TxnResult carryOut() {
+    Sent s = sent.remove();
+    TxnResult result = execute(s.txn());
+    s.then().accept(result);
+    return result;
+  }
+
+  /** Has the oldest one answered so, and does not carry it out. */
+  void answer(TxnResult result) {
+    sent.remove().then().accept(result);
+  }
+
+  /** What somebody else writes. */
+  void put(String key, JsonNode value) {
+    execute(new Txn(List.of(), List.of(new Change.Put(key, value))));
+  }
+
+  boolean holds(String key) {
+    return stamps.containsKey(key);
+  }
+
+  private TxnResult execute(Txn txn) {
+    List<String> failed =
+        txn.conditions().stream()
+            .filter(c -> stamps.getOrDefault(c.key(), 0L) != c.stamp())
+            .map(Condition::key)
+            .toList();
+    if (!failed.isEmpty()) {
+      return new TxnResult.Conflict(failed);
+    }
+    ledger++;
+    for (Change c : txn.changes()) {
+      stamps.put(c.key(), ledger);
+      history.add(new Changed(c.key(), Optional.of(((Change.Put) c).value()), ledger));
+    }
+    return new TxnResult.Committed(ledger);
+  }
+
+  @Override
+  public void txn(Txn txn, Consumer<TxnResult> then) {
+    sent.add(new Sent(txn, then));
+  }
+
+  @Override
+  public void page(String prefix, String after, int size, Consumer<PageResult> then) {
+    schedule(1, () -> then.accept(new PageResult.Page(List.of(), false, 0)));
+  }
+
+  @Override
+  public void changesAfter(String prefix, long after, Consumer<News> then) {
+    News news = new News.Changes(ledger, history.stream().filter(c -> c.stamp() > after).toList());
+    schedule(1, () -> then.accept(news));
+  }
+
+  @Override
+  public void openHold(long ttlMs, Consumer<Optional<Long>> then) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void renewHold(long hold, Consumer<Renewal> then) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void closeHold(long hold) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public long nowMs() {
+    return nowMs;
+  }
+
+  @Override
+  public long wallMs() {
+    return nowMs;
+  }
+
+  @Override
+  public void execute(Rank rank, Runnable work) {
+    schedule(0, work);
+  }
+
+  @Override
+  public Cancellable schedule(long delayMs, Runnable work) {
+    boolean[] cancelled = {false};
+    timers.add(
+        new Timer(
+            nowMs + Math.max(0, delayMs),
+            order++,
+            () -> {
+              if (!cancelled[0]) {
+                work.run();
+              }
+            }));
+    return () -> cancelled[0] = true;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/front/IntakeTest.java
@@ -0,0 +1,98 @@
+package org.ploverspindle.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.cloud.Catalogue;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.settings.Address;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.ProgressCounts;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.StateStore.TxnResult;
+import org.ploverspindle.state.TokenBucket;
+
+/** Users' requests that come while a write of earlier ones is under way. */
+class IntakeTest {
+  private final HeldStore store = new HeldStore();
+  private Intake intake;
+
+  @BeforeEach
+  void open() {
+    Address nowhere = new Address("127.0.0.1", 1);
+    Settings settings =
+        new Settings(
+            "n0",
+            "a",
+            nowhere,
+            nowhere,
+            List.of(),
+            nowhere,
+            nowhere,
+            List.of("a"),
+            500,
+            List.of(new Settings.Team("red", 8, 0, 0, 0)),
+            List.of(),
+            new Settings.WorkerLimits(3, 14, 39),
+            new Settings.StateLimits(120, 35, 8, 12),
+            new Settings.CloudLimits(20, 3),
+            new Settings.Quota(1, 200, 500));
+    Replica replica = new Replica(store, store, Keys.PREFIX, 700);
+    SpecIndex specs = new SpecIndex(replica);
+    ProgressCounts counts = new ProgressCounts(replica);
+    Catalogue catalogue = new Catalogue(settings.zones());
+    catalogue.update(
+        List.of(
+            new MachineType(
+                "small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, settings.zones())));
+    intake =
+        new Intake(
+            store,
+            store,
+            replica,
+            specs,
+            counts,
+            catalogue,
+            settings,
+            new TokenBucket(store, 100, 100),
+            "n0-1",
+            () -> {});
+    replica.start();
+    store.run(1_000);
+  }
+
+  private List<Integer> submit(String uid) {
+    ObjectNode b = Cbor.map().put("uid", uid).put("jobclass", "c").put("owner", "red");
+    b.put("shape", "batch").put("urgency", "normal").put("pieces", 1).put("cores", 1.0);
+    b.put("accelerators", 0.0).put("mem_gb", 1.0).put("bundle", "i").put("image_gb", 1.0);
+    b.put("one_zone", false).put("apart", false).put("loaners", true).put("expected_s", 5.0);
+    b.put("save_every_s", 0.0).put("save_cost_s", 0.0);
+    List<Integer> statuses = new ArrayList<>();
+    intake.submit(Cbor.write(b), a -> statuses.add(a.status()));
+    return statuses;
+  }
+
+  @Test
+  void aSubmissionIsNotForgottenBehindOneThatIsOverAlready() {
+    List<Integer> over = submit("run-0");
+    store.run(10);
+    // Another node accepted it meanwhile, and its user called it off.
+    store.put(Keys.batch("n1-1"), Cbor.map().set("run-0", Cbor.map().put("tasks", 1)));
+    store.put(Keys.cancel("run-0"), Cbor.map());
+    List<Integer> behind = submit("run-1");
+    assertEquals(TxnResult.Conflict.class, store.carryOut().getClass());
+    store.run(1_000);
+    assertEquals(List.of(200), over);
+    assertEquals(1, store.underWay(), "the next one goes out by itself");
+    store.carryOut();
+    assertEquals(List.of(201), behind);
+  }
+}
