--- a/src/main/java/org/ploverspindle/front/Cancellations.java
+++ b/src/main/java/org/ploverspindle/front/Cancellations.java
@@ -36,6 +36,9 @@
   /** By job, so that a user who asks again meanwhile shares the record. */
   private Map<String, List<Consumer<Outcome>>> waiting = new LinkedHashMap<>();
 
+  /** Who asks again for one of these hears what becomes of it, and needs no record of its own. */
+  private Map<String, List<Consumer<Outcome>>> underWay = new LinkedHashMap<>();
+
   private boolean busy;
   private boolean planned;
 
@@ -51,7 +54,8 @@
 
   /** Writes the cancellation of a job that is not over by the copy. */
   void write(String uid, Consumer<Outcome> then) {
-    waiting.computeIfAbsent(uid, u -> new ArrayList<>()).add(then);
+    Map<String, List<Consumer<Outcome>>> shared = underWay.containsKey(uid) ? underWay : waiting;
+    shared.computeIfAbsent(uid, u -> new ArrayList<>()).add(then);
     plan();
   }
 
@@ -74,7 +78,6 @@
     }
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
-    List<Consumer<Outcome>> asked = new ArrayList<>();
     Map<String, List<Consumer<Outcome>>> rest = new LinkedHashMap<>();
     waiting.forEach(
         (uid, askers) -> {
@@ -86,7 +89,7 @@
           conditions.add(new Condition(Keys.done(uid), 0));
           conditions.add(new Condition(Keys.cancel(uid), 0));
           changes.add(new Change.Put(Keys.cancel(uid), Cbor.map().put("at", scheduler.wallMs())));
-          asked.addAll(askers);
+          underWay.put(uid, askers);
         });
     waiting = rest;
     busy = true;
@@ -99,7 +102,9 @@
               result instanceof TxnResult.Committed
                   ? Outcome.STANDS
                   : result instanceof TxnResult.Refused ? Outcome.REFUSED : Outcome.UNCERTAIN;
-          asked.forEach(a -> a.accept(outcome));
+          Map<String, List<Consumer<Outcome>>> told = underWay;
+          underWay = new LinkedHashMap<>();
+          told.values().forEach(askers -> askers.forEach(a -> a.accept(outcome)));
           plan();
         });
   }
