--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -305,6 +305,11 @@
     return jobs.get(uid).begunMs;
   }
 
+  /** How many of its tasks have completed. */
+  int tasksDone(String uid) {
+    return jobs.get(uid).done.size();
+  }
+
   boolean isDone(String uid) {
     return allDone(jobs.get(uid));
   }
--- a/src/test/java/org/ploverspindle/sim/Rate.java
+++ b/src/test/java/org/ploverspindle/sim/Rate.java
@@ -12,6 +12,7 @@
   private double most;
   private long asked;
   private long refused;
+  private double amount;
 
   Rate(SimClock clock, double perSecond, double burstSeconds) {
     this.clock = clock;
@@ -25,6 +26,7 @@
     tokens = Math.min(burst, tokens + (now - lastMs) * perSecond / 1000.0);
     lastMs = now;
     asked++;
+    amount += n;
     inSecond = now / 1000 == second ? inSecond + n : n;
     second = now / 1000;
     most = Math.max(most, inSecond);
@@ -40,6 +42,11 @@
     return asked;
   }
 
+  /** All that was asked for, refused or not. */
+  double amount() {
+    return amount;
+  }
+
   long refused() {
     return refused;
   }
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -19,6 +19,7 @@
   private final Set<String> mute = new HashSet<>();
   private final Set<String> machineMute = new HashSet<>();
   private final Map<String, List<Runnable>> held = new HashMap<>();
+  private final Map<String, Integer> slow = new HashMap<>();
   private double lateShare;
   private double copyShare;
   private double lateWrites;
@@ -126,6 +127,16 @@
     }
   }
 
+  /** Each way to and from the host takes up to so long; 0: as ever. */
+  void slow(String host, int mostMs) {
+    slow.put(host, mostMs);
+  }
+
+  private long delayMs(String host) {
+    int mostMs = slow.getOrDefault(host, 0);
+    return 1 + random.nextInt(15) + (mostMs > 0 ? random.nextInt(mostMs) : 0);
+  }
+
   boolean speaks(String host) {
     return !machineMute.contains(host);
   }
@@ -181,7 +192,7 @@
    * sender gave up.
    */
   void request(String from, String to, Runnable deliver, Runnable lost) {
-    long delay = 1 + random.nextInt(15);
+    long delay = delayMs(to);
     if (!hears(to) || !speaks(from)) {
       lost.run();
     } else if (heldBack(from, to, deliver)) {
@@ -210,7 +221,7 @@
     if (heldBack(from, to, deliver)) {
       return false;
     }
-    clock.at(1 + random.nextInt(15), deliver);
+    clock.at(delayMs(from), deliver);
     return true;
   }
 }
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -44,6 +44,7 @@
   private static final long STATE_TIMEOUT_MS = 2_500;
   private static final long CLOUD_TIMEOUT_MS = 5_000;
   private static final int MOST_KEPT = 400;
+  private static final long DIRECT_TIMEOUT_MS = 1_500;
 
   final SimClock clock = new SimClock();
   final Random random;
@@ -62,7 +63,12 @@
   private final Set<String> refusals = new HashSet<>();
   private final Deque<byte[]> keptReports = new ArrayDeque<>();
   private final Set<String> looked = new HashSet<>();
+  private final Map<Integer, Integer> answers = new HashMap<>();
   private int jobCounter;
+  private int unansweredWrites;
+  private int lateDirects;
+  private int directsToMute;
+  private int oldReports;
   private double cancelAtEnd;
   private boolean closeLooks;
   private final OddRequests odd;
@@ -413,8 +419,8 @@
       clock.at(
           delayMs,
           () -> {
-            if (serves(Refusal.WRITES)) {
-              state.txn(txn);
+            if (serves(Refusal.WRITES) && state.txn(txn) instanceof TxnResult.Committed) {
+              unansweredWrites++;
             }
           });
       clock.at(STATE_TIMEOUT_MS, () -> p.schedule(0, () -> then.accept(new TxnResult.Unknown())));
@@ -546,16 +552,26 @@
       Optional<SimWorker> to =
           cloud.workers().stream().filter(w -> w.address().equals(address)).findFirst();
       if (to.isEmpty()) {
-        p.schedule(1_500, () -> then.accept(Optional.empty()));
+        p.schedule(DIRECT_TIMEOUT_MS, () -> then.accept(Optional.empty()));
         return;
       }
       ask(
           i,
           p,
           to.get().host(),
-          1_500,
+          DIRECT_TIMEOUT_MS,
           reply ->
-              to.get().direct(token, tenure, orders, orderedMs, r -> reply.accept(Optional.of(r))),
+              to.get()
+                  .direct(
+                      token,
+                      tenure,
+                      orders,
+                      orderedMs,
+                      r -> {
+                        lateDirects += clock.nowMs() - orderedMs > DIRECT_TIMEOUT_MS ? 1 : 0;
+                        directsToMute += network.speaks(to.get().host()) ? 0 : 1;
+                        reply.accept(Optional.of(r));
+                      }),
           Optional.<Report>empty(),
           then);
       if (random.nextInt(6) == 0) {
@@ -701,7 +717,14 @@
   private void toEveryController(byte[] body) {
     for (int i = 0; i < nodes; i++) {
       Controller c = controllers.get(i);
-      processes.get(i).schedule(0, () -> c.checkin(body, answer -> {}));
+      processes
+          .get(i)
+          .schedule(
+              0,
+              () -> {
+                oldReports += c.leads() ? 1 : 0;
+                c.checkin(body, answer -> {});
+              });
     }
   }
 
@@ -762,6 +785,31 @@
     return Cbor.write(b);
   }
 
+  /** How many transactions stand whose answers were lost. */
+  int unansweredWrites() {
+    return unansweredWrites;
+  }
+
+  /** How many direct commands reached their machine after their sender had given up. */
+  int lateDirects() {
+    return lateDirects;
+  }
+
+  /** How many direct commands reached machines that reach no controller. */
+  int directsToMute() {
+    return directsToMute;
+  }
+
+  /** How many old reports came to a controller that led. */
+  int oldReports() {
+    return oldReports;
+  }
+
+  /** How often users were answered with this status. */
+  int answers(int status) {
+    return answers.getOrDefault(status, 0);
+  }
+
   /** From now on all that was broken works again; what users ask is to be answered. */
   void troublesAreOver() {
     checker.troublesAreOver();
@@ -804,6 +852,7 @@
       if (!p.dead()) {
         String status = Cbor.readMap(a.body()).orElse(Cbor.map()).path("status").asText("");
         checker.told(uid, a.status(), status, submission, askedMs);
+        answers.merge(a.status(), 1, Integer::sum);
         then.accept(a);
         if (a.status() == 200 || a.status() == 201) {
           lookClosely(uid, status.equals("running") ? "queued" : status);
