Name the seeds where the lead wanders for ever and a team stays at its limit

Seeds 22 and 33 of the random troubles, 122 and 176 of the pairs. After a takeover with four or more recorded machines that are all gone, each leader stands back for hearing none of them after twice the report time, long before it could prove by silence that their tasks are gone. So the next leader takes the same tasks over, and nothing of the team starts again.

--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -212,7 +212,8 @@
   @ParameterizedTest
   @ValueSource(
       longs = {
-        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 101, 281, 1207
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 22, 33, 101, 281,
+        1207
       })
   void rulesHoldUnderRandomTroubles(long seed) {
     World w = play(seed, 14);
@@ -236,7 +237,8 @@
   @ParameterizedTest
   @ValueSource(
       longs = {
-        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25,
+        122, 176
       })
   void rulesHoldWhereTwoTroublesMeet(long seed) {
     assertRulesKept(playPairs(seed, 9), "seed " + seed);
