The lead no longer goes round among controllers whose machines are gone

Each leader took over the placements of machines that were gone in truth, heard nothing, and stood back after two silences as if others might hear more; the proof by silence takes longer (A + L from the takeover), so that no term came to it.

A leader that sees that the lead changed three times within a minute, and never heard most of its machines, stays until that proof. Where the first look for a better leader helps, it is as quick as before.

--- a/src/main/java/org/ploverspindle/front/SubmissionCodec.java
+++ b/src/main/java/org/ploverspindle/front/SubmissionCodec.java
@@ -92,7 +92,7 @@
         flag("one_zone"),
         flag("apart"),
         flag("loaners"),
-        bundle(),
+        text("bundle"),
         amount("image_gb"),
         amount("expected_s"),
         amount("save_every_s"),
@@ -121,15 +121,6 @@
     return n.asText();
   }
 
-  /** Unlike the fields that may be null it may not be left out; a job without an image says "". */
-  private String bundle() throws Malformed {
-    JsonNode n = body.path("bundle");
-    if (!n.isTextual() || n.asText().length() > MAX_TEXT) {
-      throw new Malformed("bundle");
-    }
-    return n.asText();
-  }
-
   private Optional<String> optionalText(String field) throws Malformed {
     return absent(field) ? Optional.empty() : Optional.of(text(field));
   }
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -1,6 +1,8 @@
 package org.ploverspindle.leadership;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -29,6 +31,11 @@
   private static final long STAND_BACK_FORGOTTEN_MS = 120_000;
   private static final long OTHERS_FIRST_MS = 2_500;
 
+  /** So many terms in so short a time: whatever ends them, another change does not help. */
+  private static final int MANY_TERMS = 3;
+
+  private static final long MANY_TERMS_MS = 60_000;
+
   /** What the rest of the process is told; always on the loop. */
   public interface Listener {
     /** The term began; the copy holds all that earlier leaders wrote. */
@@ -57,6 +64,7 @@
   private int standBacks;
   private long vacantSinceMs;
   private Optional<Term> term = Optional.empty();
+  private final Deque<Long> termsSeenMs = new ArrayDeque<>();
 
   public Election(
       Scheduler scheduler,
@@ -105,6 +113,12 @@
     return Math.min(holdSentMs, replica.freshAsOfMs());
   }
 
+  /** Has the lead changed again and again lately, as far as this node saw? */
+  boolean changesOften() {
+    termsSeenMs.removeIf(seen -> scheduler.nowMs() - seen > MANY_TERMS_MS);
+    return termsSeenMs.size() >= MANY_TERMS;
+  }
+
   private void tick() {
     if (!replica.loaded()) {
       return;
@@ -204,6 +218,7 @@
       end("the leader key is gone");
       return;
     }
+    termsSeenMs.addLast(scheduler.nowMs());
     JsonNode value = entry.get().value();
     boolean ours = value.path("nonce").asText("").equals(nonce);
     if (!ours && value.path("member").asText("").equals(member)) {
--- a/src/main/java/org/ploverspindle/leadership/Reach.java
+++ b/src/main/java/org/ploverspindle/leadership/Reach.java
@@ -29,18 +29,25 @@
   private final boolean alone;
   private final long withinMs;
   private final long hushMs;
+  private final long unheardMs;
   private final Deque<Strays> strays = new ArrayDeque<>();
   private long lastHeardMs;
   private long lastLookMs;
   private long listeningSinceMs;
   private int mostHeard;
 
-  Reach(Fleet fleet, Term term, Settings settings) {
+  /**
+   * @param patientMs how long a leader that never heard most of its machines waits before it stands
+   *     back, where several before it found the same: they would go round for good, none staying
+   *     long enough to prove by silence that the machines are gone. 0 where none did.
+   */
+  Reach(Fleet fleet, Term term, Settings settings, long patientMs) {
     this.fleet = fleet;
     this.term = term;
     this.alone = settings.nodes() < 2;
     this.withinMs = Math.round(settings.workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
     this.hushMs = Math.round(settings.workers().reportS() * 650);
+    this.unheardMs = Math.max(2 * withinMs, patientMs);
     this.lastHeardMs = term.startMs();
     this.lastLookMs = term.startMs();
     this.listeningSinceMs = term.startMs();
@@ -131,14 +138,15 @@
     }
     mostHeard = Math.max(mostHeard, heard);
     if (expected < MANY_MACHINES) {
-      return expected >= SOME_MACHINES && nowMs - lastHeardMs >= 2 * withinMs;
+      long enoughMs = mostHeard * 2 <= expected ? unheardMs : 2 * withinMs;
+      return expected >= SOME_MACHINES && nowMs - lastHeardMs >= enoughMs;
     }
     if (nowMs - lastHeardMs >= hushMs && strayed() * 3 > expected) {
       return true;
     }
     if (mostHeard * 2 <= expected) {
       // From the start; an earlier leader that is cut off from us may still have the machines.
-      return nowMs - lastHeardMs >= 2 * withinMs;
+      return nowMs - lastHeardMs >= unheardMs;
     }
     return heard * 5 < expected;
   }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -66,6 +66,9 @@
 
   private static final long REMEMBERED_MS = 120_000;
 
+  /** For what is proven gone by silence to be known before the lead could change again. */
+  private static final long PATIENCE_MARGIN_MS = 4_000;
+
   /** A leader that has written nothing for so long is of no use. */
   private static final long USELESS_MS = 5_000;
 
@@ -154,7 +157,12 @@
             writer::isDurablyDone,
             new DeskEvents());
     this.blame = new Blame(this::works);
-    this.reach = new Reach(fleet, term, with.settings());
+    this.reach =
+        new Reach(
+            fleet,
+            term,
+            with.settings(),
+            election.changesOften() ? with.timing().takeoverSilenceMs() + PATIENCE_MARGIN_MS : 0);
     this.aims = new Aims(with.settings().objectives());
     this.placer =
         new Placer(
