--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -163,8 +163,9 @@
 
   /** The task's progress changed. */
   public void changed(Job job, int task) {
-    // A job is not done before what it awaits is: it might still be aborted with that.
-    if (job.allDone() && !job.cancelled() && !job.awaiting()) {
+    // A job is not done before what it awaits is: it might still be aborted with that. And while an
+    // attempt of a done task may still be somewhere, it is recorded: it takes its room.
+    if (job.allDone() && job.live().isEmpty() && !job.cancelled() && !job.awaiting()) {
       ending.putIfAbsent(job.uid(), job);
     } else {
       dirty.computeIfAbsent(job, j -> new BitSet()).set(task);
@@ -406,7 +407,8 @@
           s.done().set(t);
         } else if (p == null) {
           cleared.set(t);
-        } else {
+        }
+        if (p != null) {
           s.placements().add(p);
           live.add(live(p));
         }
@@ -445,7 +447,8 @@
         Placement p = job.liveAt(task);
         if (job.done().get(task)) {
           s.done().set(task);
-        } else if (p != null) {
+        }
+        if (p != null) {
           s.placements().add(p);
           live.add(live(p));
         }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -68,6 +68,9 @@
 
   private static final long REMEMBERED_MS = 120_000;
 
+  /** For what is proven gone by silence to be known before the lead could change again. */
+  private static final long PATIENCE_MARGIN_MS = 4_000;
+
   /** A leader that has written nothing for so long is of no use. */
   private static final long USELESS_MS = 5_000;
 
@@ -159,7 +162,12 @@
             writer::isDurablyDone,
             new DeskEvents());
     this.blame = new Blame(this::works);
-    this.reach = new Reach(fleet, term, with.settings());
+    this.reach =
+        new Reach(
+            fleet,
+            term,
+            with.settings(),
+            election.changesOften() ? with.timing().takeoverSilenceMs() + PATIENCE_MARGIN_MS : 0);
     this.aims = new Aims(with.settings().objectives());
     this.passedBack =
         new PassedBack(
@@ -279,6 +287,7 @@
         fleet.place(
             new Placement(
                 job, l.task(), l.attempt(), m.get(), l.tenure(), Placement.Phase.RECORDED));
+        stopIfDone(job, l.task());
       }
     }
     if (job.allDone() && !job.cancelled()) {
@@ -290,6 +299,14 @@
     return with.pipelines().readyWallMs(job.uid()).orElse(job.acceptedWallMs());
   }
 
+  /** An attempt that goes on although a report that came late showed the task done by another. */
+  private static void stopIfDone(Job job, int task) {
+    Placement p = job.liveAt(task);
+    if (p != null && job.done().get(task)) {
+      p.stop(0);
+    }
+  }
+
   // ---- changes made by any node
 
   private void recordChanged(String key, Optional<Entry> entry) {
@@ -751,6 +768,7 @@
         return;
       }
       job.markDone(task);
+      stopIfDone(job, task);
       writer.changed(job, task);
       planPlacing();
     }
--- a/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
+++ b/src/test/java/org/ploverspindle/front/SubmissionCodecTest.java
@@ -84,7 +84,9 @@
         "awaits|[\"run-000398\",7]",
         "awaits|[null]",
         "awaits|[[\"run-000398\"]]",
-        "awaits|[\"run 398\"]"
+        "awaits|[\"run 398\"]",
+        "bundle|null",
+        "bundle|\"\""
       })
   void refusesWhatIsInvalid(String field, String value) throws Exception {
     ObjectNode body = good();
--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -19,6 +19,7 @@
   private final Set<String> mute = new HashSet<>();
   private final Set<String> machineMute = new HashSet<>();
   private final Map<String, List<Runnable>> held = new HashMap<>();
+  private final Map<String, Integer> slow = new HashMap<>();
   private double lateShare;
   private double copyShare;
   private double lateWrites;
@@ -126,6 +127,16 @@
     }
   }
 
+  /** Each way to and from the host takes up to so long; 0: as ever. */
+  void slow(String host, int mostMs) {
+    slow.put(host, mostMs);
+  }
+
+  private long delayMs(String host) {
+    int mostMs = slow.getOrDefault(host, 0);
+    return 1 + random.nextInt(15) + (mostMs > 0 ? random.nextInt(mostMs) : 0);
+  }
+
   boolean speaks(String host) {
     return !machineMute.contains(host);
   }
@@ -133,16 +144,20 @@
   /**
    * Packets between the two are held back and delivered in order when that ends, long after their
    * senders gave up. Only a few connections are open; what opens another one is lost.
+   *
+   * @return how many packets are delivered now
    */
-  void hold(String a, String b, boolean now) {
+  int hold(String a, String b, boolean now) {
     if (now) {
       held.putIfAbsent(pair(a, b), new ArrayList<>());
-    } else {
-      List<Runnable> packets = held.remove(pair(a, b));
-      if (packets != null) {
-        packets.forEach(p -> clock.at(1, p));
-      }
+      return 0;
+    }
+    List<Runnable> packets = held.remove(pair(a, b));
+    if (packets == null) {
+      return 0;
     }
+    packets.forEach(p -> clock.at(1, p));
+    return packets.size();
   }
 
   private boolean heldBack(String from, String to, Runnable packet) {
@@ -181,7 +196,7 @@
    * sender gave up.
    */
   void request(String from, String to, Runnable deliver, Runnable lost) {
-    long delay = 1 + random.nextInt(15);
+    long delay = delayMs(to);
     if (!hears(to) || !speaks(from)) {
       lost.run();
     } else if (heldBack(from, to, deliver)) {
@@ -210,7 +225,7 @@
     if (heldBack(from, to, deliver)) {
       return false;
     }
-    clock.at(1 + random.nextInt(15), deliver);
+    clock.at(delayMs(from), deliver);
     return true;
   }
 }
