--- a/src/test/java/org/ploverspindle/sim/Doors.java
+++ b/src/test/java/org/ploverspindle/sim/Doors.java
@@ -1,5 +1,6 @@
 package org.ploverspindle.sim;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -24,6 +25,7 @@
 import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.Replica;
 import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.SpecRecord;
 import org.ploverspindle.state.StateStore;
 import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.Condition;
@@ -170,12 +172,29 @@
   TxnResult applied(Txn txn) {
     TxnResult result = state.txn(txn);
     if (result instanceof TxnResult.Committed) {
+      txn.changes().forEach(this::checkListStands);
       changes += txn.changes().size();
       txn.changes().forEach(c -> written.add(c.key()));
     }
     return result;
   }
 
+  /** A job may be seen by anybody as soon as it is written: its list must be there before. */
+  private void checkListStands(Change change) {
+    if (change instanceof Change.Put put && put.key().startsWith(Keys.BATCHES)) {
+      for (JsonNode job : put.value()) {
+        if (SpecRecord.awaits(job) instanceof SpecRecord.Awaits.Elsewhere list) {
+          for (int i = 0; i < list.parts(); i++) {
+            String part = Keys.awaits(list.name(), i);
+            if (!written.contains(part)) {
+              throw new IllegalStateException("a job is written before " + part);
+            }
+          }
+        }
+      }
+    }
+  }
+
   void pass(long ms) {
     clock.runUntil(clock.nowMs() + ms);
   }
