A leader does not stand back for machines that only records speak of

A machine that the cloud's list does not show in this term is no longer missed; it is a hint only, and no proof rests on it.

--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -171,6 +171,11 @@
     return duties;
   }
 
+  /** Was the whole list of machines read in this term? */
+  public boolean listRead() {
+    return listedOnce;
+  }
+
   /** The next scan need not be waited for: nothing is up and work waits. */
   public void scanSoon() {
     if (listedOnce && claims.isEmpty() && fleet.all().isEmpty()) {
--- a/src/main/java/org/ploverspindle/leadership/Reach.java
+++ b/src/main/java/org/ploverspindle/leadership/Reach.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
@@ -26,6 +27,7 @@
 
   private final Fleet fleet;
   private final Term term;
+  private final BooleanSupplier listRead;
   private final boolean alone;
   private final long withinMs;
   private final long hushMs;
@@ -35,9 +37,13 @@
   private long listeningSinceMs;
   private int mostHeard;
 
-  Reach(Fleet fleet, Term term, Settings settings) {
+  /**
+   * @param listRead whether the cloud's list was read in this term
+   */
+  Reach(Fleet fleet, Term term, Settings settings, BooleanSupplier listRead) {
     this.fleet = fleet;
     this.term = term;
+    this.listRead = listRead;
     this.alone = settings.nodes() < 2;
     this.withinMs = Math.round(settings.workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
     this.hushMs = Math.round(settings.workers().reportS() * 650);
@@ -127,7 +133,7 @@
     int heard = 0;
     for (Machine m : fleet.all()) {
       heard += m.up() && nowMs - m.lastReportMs() < withinMs ? 1 : 0;
-      expected += m.up() || !m.placements().isEmpty() ? 1 : 0;
+      expected += m.up() || !m.placements().isEmpty() && mayExist(m) ? 1 : 0;
     }
     mostHeard = Math.max(mostHeard, heard);
     if (expected < MANY_MACHINES) {
@@ -142,4 +148,13 @@
     }
     return heard * 5 < expected;
   }
+
+  /**
+   * Machines that only records of earlier leaders speak of, and that the list does not show, are
+   * most likely gone: no other leader would hear them. Were they waited for, each leader in turn
+   * would stand back before it had listened for long enough to call their tasks gone.
+   */
+  private boolean mayExist(Machine m) {
+    return m.listed() || !listRead.getAsBoolean();
+  }
 }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -156,7 +156,7 @@
             writer::isDurablyDone,
             new DeskEvents());
     this.blame = new Blame(this::works);
-    this.reach = new Reach(fleet, term, with.settings());
+    this.reach = new Reach(fleet, term, with.settings(), this::listRead);
     this.aims = new Aims(with.settings().objectives());
     this.passedBack =
         new PassedBack(
@@ -248,6 +248,10 @@
     return !closed && election.mayDecide();
   }
 
+  private boolean listRead() {
+    return rentals.listRead();
+  }
+
   /** Unique over all leaders: the token is part of it. */
   private long nextAttempt() {
     return term.token() << 24 | ++attemptCounter;
--- a/src/test/java/org/ploverspindle/leadership/ReachTest.java
+++ b/src/test/java/org/ploverspindle/leadership/ReachTest.java
@@ -3,18 +3,25 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.NoNews;
+import org.ploverspindle.Specs;
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.TeamUsage;
+import org.ploverspindle.jobs.Urgency;
 import org.ploverspindle.settings.Address;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
+import org.ploverspindle.workers.Machine;
+import org.ploverspindle.workers.Placement;
 import org.ploverspindle.workers.Report;
 import org.ploverspindle.workers.ReportDesk;
 
@@ -28,6 +35,7 @@
   private final ReportDesk desk;
   private final Reach reach;
   private long tally;
+  private boolean listRead;
 
   ReachTest() {
     Catalogue catalogue = new Catalogue(List.of("a"));
@@ -46,7 +54,7 @@
             u -> Optional.empty(),
             (j, t) -> false,
             new NoNews());
-    reach = new Reach(fleet, TERM, settings);
+    reach = new Reach(fleet, TERM, settings, () -> listRead);
   }
 
   private static Settings settings() {
@@ -142,4 +150,30 @@
   void whoseAnswersNeverArriveIsInTrouble() {
     assertTrue(troubled(0, 30_000, true, 3), "they report under an older token for ever");
   }
+
+  /** Six machines on which earlier leaders recorded tasks; none of them is ever heard. */
+  private void recorded() {
+    JobSpec spec = Specs.batch("run-1", "c", "red", Urgency.NORMAL, 6, 4, 1, 20, 0);
+    Job job = new Job(spec, 0, 80, 0, new BitSet(), -1, 1);
+    for (int i = 0; i < 6; i++) {
+      Machine m = fleet.adopt("i-" + i, "t", "a", true, 0).orElseThrow();
+      fleet.place(new Placement(job, i, 100 + i, m, 1, Placement.Phase.RECORDED));
+    }
+  }
+
+  @Test
+  void machinesThatAreInRecordsOnlyAreNotMissed() {
+    recorded();
+    listRead = true;
+    assertFalse(troubled(0, 40_000, false, 7), "nobody else would hear them either");
+  }
+
+  @Test
+  void machinesThatAreListedOrMayBeAreMissed() {
+    recorded();
+    assertTrue(troubled(0, 39_000, false, 7), "no list was read");
+    listRead = true;
+    fleet.all().forEach(m -> m.listedAt(0));
+    assertTrue(troubled(39_000, 78_000, false, 7));
+  }
 }
--- a/src/test/java/org/ploverspindle/sim/PipelineTest.java
+++ b/src/test/java/org/ploverspindle/sim/PipelineTest.java
@@ -151,7 +151,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 291})
   void rulesHoldForPipelinesUnderRandomTroubles(long seed) {
     World w = play(seed, 12);
     assertEquals(List.of(), w.checker.broken(), "seed " + seed);
