--- a/src/main/java/org/ploverspindle/leadership/Reach.java
+++ b/src/main/java/org/ploverspindle/leadership/Reach.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.workers.Fleet;
 import org.ploverspindle.workers.Machine;
@@ -26,6 +27,7 @@
 
   private final Fleet fleet;
   private final Term term;
+  private final BooleanSupplier listRead;
   private final boolean alone;
   private final long withinMs;
   private final long hushMs;
@@ -37,13 +39,15 @@
   private int mostHeard;
 
   /**
+   * @param listRead whether the cloud's list was read in this term
    * @param patientMs how long a leader that never heard most of its machines waits before it stands
    *     back, where several before it found the same: they would go round for good, none staying
    *     long enough to prove by silence that the machines are gone. 0 where none did.
    */
-  Reach(Fleet fleet, Term term, Settings settings, long patientMs) {
+  Reach(Fleet fleet, Term term, Settings settings, BooleanSupplier listRead, long patientMs) {
     this.fleet = fleet;
     this.term = term;
+    this.listRead = listRead;
     this.alone = settings.nodes() < 2;
     this.withinMs = Math.round(settings.workers().reportS() * 1_250) + SILENCE_MARGIN_MS;
     this.hushMs = Math.round(settings.workers().reportS() * 650);
@@ -134,7 +138,7 @@
     int heard = 0;
     for (Machine m : fleet.all()) {
       heard += m.up() && nowMs - m.lastReportMs() < withinMs ? 1 : 0;
-      expected += m.up() || !m.placements().isEmpty() ? 1 : 0;
+      expected += m.up() || !m.placements().isEmpty() && mayExist(m) ? 1 : 0;
     }
     mostHeard = Math.max(mostHeard, heard);
     if (expected < MANY_MACHINES) {
@@ -150,4 +154,13 @@
     }
     return heard * 5 < expected;
   }
+
+  /**
+   * Machines that only records of earlier leaders speak of, and that the list does not show, are
+   * most likely gone: no other leader would hear them. Were they waited for, each leader in turn
+   * would stand back before it had listened for long enough to call their tasks gone.
+   */
+  private boolean mayExist(Machine m) {
+    return m.listed() || !listRead.getAsBoolean();
+  }
 }
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -167,6 +167,7 @@
             fleet,
             term,
             with.settings(),
+            this::listRead,
             election.changesOften() ? with.timing().takeoverSilenceMs() + PATIENCE_MARGIN_MS : 0);
     this.aims = new Aims(with.settings().objectives());
     this.passedBack =
@@ -259,6 +260,10 @@
     return !closed && election.mayDecide();
   }
 
+  private boolean listRead() {
+    return rentals.listRead();
+  }
+
   /** Unique over all leaders: the token is part of it. */
   private long nextAttempt() {
     return term.token() << 24 | ++attemptCounter;
--- a/src/test/java/org/ploverspindle/leadership/ReachTest.java
+++ b/src/test/java/org/ploverspindle/leadership/ReachTest.java
@@ -35,6 +35,7 @@
   private final ReportDesk desk;
   private Reach reach;
   private long tally;
+  private boolean listRead;
 
   ReachTest() {
     Catalogue catalogue = new Catalogue(List.of("a"));
@@ -53,7 +54,7 @@
             u -> Optional.empty(),
             (j, t) -> false,
             new NoNews());
-    reach = new Reach(fleet, TERM, settings, 0);
+    reach = new Reach(fleet, TERM, settings, () -> listRead, 0);
   }
 
   private static Settings settings() {
@@ -158,7 +159,7 @@
       fleet.place(new Placement(job, task, task + 1, m, 1, Placement.Phase.RECORDED));
     }
     assertTrue(troubled(0, 20_000, false, 7), "the first ones look for a better one soon");
-    reach = new Reach(fleet, TERM, settings, 40_000);
+    reach = new Reach(fleet, TERM, settings, () -> listRead, 40_000);
     assertFalse(troubled(0, 39_000, false, 7));
     assertTrue(troubled(39_000, 42_000, false, 7));
   }
@@ -167,4 +168,30 @@
   void whoseAnswersNeverArriveIsInTrouble() {
     assertTrue(troubled(0, 30_000, true, 3), "they report under an older token for ever");
   }
+
+  /** Six machines on which earlier leaders recorded tasks; none of them is ever heard. */
+  private void recorded() {
+    JobSpec spec = Specs.batch("run-1", "c", "red", Urgency.NORMAL, 6, 4, 1, 20, 0);
+    Job job = new Job(spec, 0, 80, 0, new BitSet(), -1, 1);
+    for (int i = 0; i < 6; i++) {
+      Machine m = fleet.adopt("i-" + i, "t", "a", true, 0).orElseThrow();
+      fleet.place(new Placement(job, i, 100 + i, m, 1, Placement.Phase.RECORDED));
+    }
+  }
+
+  @Test
+  void machinesThatAreInRecordsOnlyAreNotMissed() {
+    recorded();
+    listRead = true;
+    assertFalse(troubled(0, 40_000, false, 7), "nobody else would hear them either");
+  }
+
+  @Test
+  void machinesThatAreListedOrMayBeAreMissed() {
+    recorded();
+    assertTrue(troubled(0, 39_000, false, 7), "no list was read");
+    listRead = true;
+    fleet.all().forEach(m -> m.listedAt(0));
+    assertTrue(troubled(39_000, 78_000, false, 7));
+  }
 }
