Settings: lower limits to come; all writes and rates keep to the smaller of both

The state service may lower its limits at any moment, told only beforehand in params.state.next. A limit that is absent there stays as it is; a wrong one is refused with its line, also when the table is written inline; check names the ones that are too small and prints what is kept to.

--- a/src/main/java/org/ploverspindle/cli/CheckCommand.java
+++ b/src/main/java/org/ploverspindle/cli/CheckCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.ploverspindle.policy.Policy;
@@ -38,7 +39,18 @@
       Policy checked = Main.policy(policy, settings);
       Sufficiency.warnings(settings)
           .forEach(w -> spec.commandLine().getErr().println("warning: " + w));
+      Settings.StateLimits state = settings.writeLimits();
       spec.commandLine().getOut().println("valid: " + settings.member() + ", " + checked);
+      spec.commandLine()
+          .getOut()
+          .printf(
+              Locale.ROOT,
+              "state service: %s requests/s, %s changes/s, %s KiB a value, %d changes a transaction"
+                  + " are kept to%n",
+              state.rps(),
+              state.writeRps(),
+              state.valueKb(),
+              state.txnOps());
       return 0;
     } catch (InvalidSettings e) {
       problems.addAll(e.problems());
--- a/src/main/java/org/ploverspindle/cloud/Claims.java
+++ b/src/main/java/org/ploverspindle/cloud/Claims.java
@@ -113,7 +113,7 @@
     this.mayDecide = mayDecide;
     double calls = callsPerS * policy.scanS() * GROUP_SHARE;
     // Each is recorded before it is asked for, and the leader's other writes must not wait for it.
-    double records = settings.stateLimits().writeRps() * policy.scanS() * RECORDS_SHARE;
+    double records = settings.writeLimits().writeRps() * policy.scanS() * RECORDS_SHARE;
     this.mostPerScan = MAX_PER_RENTAL * Math.max(1, (int) Math.min(calls, records));
   }
 
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -101,14 +101,14 @@
     this.counts = counts;
     this.nonce = nonce;
     this.changedForLeader = changedForLeader;
-    this.valueBytes = Math.min(settings.stateLimits().valueBytes(), MAX_VALUE_BYTES);
+    this.valueBytes = Math.min(settings.writeLimits().valueBytes(), MAX_VALUE_BYTES);
     this.scheduler = scheduler;
     this.store = store;
     this.replica = replica;
     this.catalogue = catalogue;
     this.settings = settings;
     this.writes = writes;
-    this.chunk = ProgressRecord.chunkFor(settings.stateLimits().valueBytes());
+    this.chunk = ProgressRecord.chunkFor(settings.writeLimits().valueBytes());
   }
 
   /** Calls with true at the barrier, or with false when it can't be had in the user's time. */
@@ -316,7 +316,7 @@
       return;
     }
     long now = scheduler.nowMs();
-    int budget = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available()));
+    int budget = (int) Math.min(settings.writeLimits().txnOps(), Math.floor(writes.available()));
     boolean beyond = budget < 1;
     if (beyond && (now - refusedMs < STRICT_MS || now - flushedMs < BEYOND_SHARE_MS)) {
       planFlush(20);
@@ -328,7 +328,7 @@
     List<Condition> conditions = new ArrayList<>();
     List<Change> changes = new ArrayList<>();
     int bytes = 200;
-    int most = 4 * settings.stateLimits().txnOps() - 3;
+    int most = 4 * settings.writeLimits().txnOps() - 3;
     while (!creations.isEmpty()
         && changes.size() < budget
         && conditions.size() < most
--- a/src/main/java/org/ploverspindle/leadership/Steward.java
+++ b/src/main/java/org/ploverspindle/leadership/Steward.java
@@ -136,8 +136,8 @@
             with.store(),
             with.replica(),
             with.writes(),
-            with.settings().stateLimits().txnOps(),
-            with.settings().stateLimits().valueBytes(),
+            with.settings().writeLimits().txnOps(),
+            with.settings().writeLimits().valueBytes(),
             term,
             this::hostName,
             new WriterEvents());
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -78,8 +78,8 @@
     this.writes =
         new TokenBucket(
             loop,
-            settings.stateLimits().writeRps() * 0.65,
-            Math.max(2, settings.stateLimits().writeRps() * 0.4));
+            settings.writeLimits().writeRps() * 0.65,
+            Math.max(2, settings.writeLimits().writeRps() * 0.4));
     this.election = new Election(loop, store, replica, random, timing, settings.member(), this);
     // Submissions and cancellations have a share of their own on every node: on the leader they
     // would wait behind what its own work is allowed. One change takes many submissions, so that
@@ -87,8 +87,8 @@
     TokenBucket accepting =
         new TokenBucket(
             loop,
-            Math.max(1, settings.stateLimits().writeRps() * ACCEPTING_SHARE),
-            Math.max(3, settings.stateLimits().writeRps() * ACCEPTING_SHARE));
+            Math.max(1, settings.writeLimits().writeRps() * ACCEPTING_SHARE),
+            Math.max(3, settings.writeLimits().writeRps() * ACCEPTING_SHARE));
     SpecIndex specs = new SpecIndex(replica);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
@@ -148,11 +148,11 @@
    * there are far fewer than requests) and renewals.
    */
   private long leaderSpacingMs() {
-    return Math.max(60, Math.round(1000 / (settings.stateLimits().rps() * 0.2)));
+    return Math.max(60, Math.round(1000 / (settings.writeLimits().rps() * 0.2)));
   }
 
   private long followerSpacingMs() {
-    double each = settings.stateLimits().rps() * 0.45 / Math.max(1, settings.nodes() - 1);
+    double each = settings.writeLimits().rps() * 0.45 / Math.max(1, settings.nodes() - 1);
     return Math.max(150, Math.round(1000 / each));
   }
 
--- a/src/main/java/org/ploverspindle/policy/PolicyFile.java
+++ b/src/main/java/org/ploverspindle/policy/PolicyFile.java
@@ -50,8 +50,8 @@
     names.put("report_s", s.workers().reportS());
     names.put("lease_s", s.workers().leaseS());
     names.put("cancel_s", s.workers().cancelS());
-    names.put("state_rps", s.stateLimits().rps());
-    names.put("state_write_rps", s.stateLimits().writeRps());
+    names.put("state_rps", s.writeLimits().rps());
+    names.put("state_write_rps", s.writeLimits().writeRps());
     names.put("cloud_rps", s.cloudLimits().rps());
     names.put("list_lag_s", s.cloudLimits().listLagS());
     return names;
--- a/src/main/java/org/ploverspindle/settings/Settings.java
+++ b/src/main/java/org/ploverspindle/settings/Settings.java
@@ -34,16 +34,45 @@
 
   public record WorkerLimits(double reportS, double leaseS, double cancelS) {}
 
-  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {
+  /**
+   * @param next what the service will allow from some moment on that nobody is told; a limit that
+   *     it does not name stays as it is
+   */
+  public record StateLimits(
+      double rps, double writeRps, double valueKb, int txnOps, Optional<StateLimits> next) {
+    public StateLimits(double rps, double writeRps, double valueKb, int txnOps) {
+      this(rps, writeRps, valueKb, txnOps, Optional.empty());
+    }
+
     public int valueBytes() {
       return (int) (valueKb * 1024);
     }
+
+    /** What holds before and after the moment: the smaller of both, limit by limit. */
+    public StateLimits lowest() {
+      return next.map(
+              n ->
+                  new StateLimits(
+                      Math.min(rps, n.rps),
+                      Math.min(writeRps, n.writeRps),
+                      Math.min(valueKb, n.valueKb),
+                      Math.min(txnOps, n.txnOps)))
+          .orElse(this);
+    }
   }
 
   public record CloudLimits(double rps, double listLagS) {}
 
   public record Quota(double cores, double ramMb, int maxConnections) {}
 
+  /**
+   * What every write and every rate keeps to from the start on, as the moment when the lower limits
+   * come is not told.
+   */
+  public StateLimits writeLimits() {
+    return stateLimits.lowest();
+  }
+
   public Optional<Team> team(String name) {
     return teams.stream().filter(t -> t.name().equals(name)).findFirst();
   }
--- a/src/main/java/org/ploverspindle/settings/SettingsFile.java
+++ b/src/main/java/org/ploverspindle/settings/SettingsFile.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
 
@@ -91,11 +92,7 @@
                 amount(workers, "params.workers.report_s", 0.01),
                 amount(workers, "params.workers.lease_s", 0.1),
                 amount(workers, "params.workers.cancel_s", 0.1)),
-            new Settings.StateLimits(
-                amount(state, "params.state.rps", 1),
-                amount(state, "params.state.write_rps", 1),
-                amount(state, "params.state.value_kb", 1),
-                (int) amount(state, "params.state.txn_ops", 4)),
+            stateLimits(state),
             new Settings.CloudLimits(
                 amount(cloud, "params.cloud.rps", 0.1),
                 amount(cloud, "params.cloud.list_lag_s", 0)),
@@ -107,6 +104,35 @@
     return settings;
   }
 
+  private Settings.StateLimits stateLimits(JsonNode state) {
+    Settings.StateLimits now =
+        new Settings.StateLimits(
+            amount(state, "params.state.rps", 1),
+            amount(state, "params.state.write_rps", 1),
+            amount(state, "params.state.value_kb", 1),
+            (int) amount(state, "params.state.txn_ops", 4));
+    JsonNode next = state.path("next");
+    if (next.isMissingNode()) {
+      return now;
+    }
+    if (!next.isObject()) {
+      report("params.state.next", "must be a table");
+      return now;
+    }
+    Settings.StateLimits later =
+        new Settings.StateLimits(
+            amountOr(next, "params.state.next.rps", 1, now.rps()),
+            amountOr(next, "params.state.next.write_rps", 1, now.writeRps()),
+            amountOr(next, "params.state.next.value_kb", 1, now.valueKb()),
+            (int) amountOr(next, "params.state.next.txn_ops", 4, now.txnOps()));
+    return new Settings.StateLimits(
+        now.rps(), now.writeRps(), now.valueKb(), now.txnOps(), Optional.of(later));
+  }
+
+  private double amountOr(JsonNode in, String field, double least, double absent) {
+    return in.path(last(field)).isMissingNode() ? absent : amount(in, field, least);
+  }
+
   private void checkTogether(Settings s) {
     Set<String> names = new HashSet<>(Set.of(s.member()));
     for (Settings.Member m : s.members()) {
@@ -273,6 +299,22 @@
         break;
       }
     }
-    problems.add(new Problem(file, line, field, message));
+    problems.add(new Problem(file, line == 0 ? inlineLine(table) : line, field, message));
+  }
+
+  /** Where a table without a header of its own is set: inline, or by dotted keys. */
+  private int inlineLine(String table) {
+    Pattern set = Pattern.compile("\\s*" + Pattern.quote(last(table)) + "\\s*[.=].*");
+    String parent = table.contains(".") ? table.substring(0, table.lastIndexOf('.')) : "";
+    String inside = "";
+    for (int i = 0; i < lines.size(); i++) {
+      String line = lines.get(i).strip();
+      if (line.startsWith("[")) {
+        inside = line.replaceAll("[\\[\\]\\s]|#.*", "");
+      } else if (!table.isEmpty() && inside.equals(parent) && set.matcher(line).matches()) {
+        return i + 1;
+      }
+    }
+    return 0;
   }
 }
--- a/src/main/java/org/ploverspindle/settings/Sufficiency.java
+++ b/src/main/java/org/ploverspindle/settings/Sufficiency.java
@@ -30,12 +30,12 @@
 
   public static List<Warning> warnings(Settings s) {
     List<Warning> warnings = new ArrayList<>();
-    Settings.StateLimits state = s.stateLimits();
+    Settings.StateLimits state = s.writeLimits();
     double needed = LEADER_RPS + FOLLOWER_RPS * (s.nodes() - 1);
     if (state.rps() < needed) {
       warnings.add(
           new Warning(
-              "params.state.rps",
+              field("rps", s.stateLimits().rps(), state.rps()),
               text(
                   "%.1f requests a second are fewer than the %.1f that %d controllers need with"
                       + " nothing to do: answers will be late and the lead may change hands",
@@ -44,7 +44,7 @@
     if (state.writeRps() < LEAST_WRITE_RPS) {
       warnings.add(
           new Warning(
-              "params.state.write_rps",
+              field("write_rps", s.stateLimits().writeRps(), state.writeRps()),
               text(
                   "%.1f changes a second: each start waits for its record for up to %.1f s",
                   state.writeRps(), 2 / Math.max(0.01, state.writeRps()))));
@@ -52,7 +52,7 @@
     if (state.valueBytes() < LEAST_VALUE_BYTES) {
       warnings.add(
           new Warning(
-              "params.state.value_kb",
+              field("value_kb", s.stateLimits().valueKb(), state.valueKb()),
               text(
                   "%d bytes hold no record for certain: jobs with longer descriptions are refused"
                       + " with 422, and tasks may not start",
@@ -71,6 +71,11 @@
     return warnings;
   }
 
+  /** The place of the limit that is the smaller one. */
+  private static String field(String name, double now, double lowest) {
+    return (lowest < now ? "params.state.next." : "params.state.") + name;
+  }
+
   private static String text(String format, Object... values) {
     return String.format(Locale.ROOT, format, values);
   }
--- a/src/test/java/org/ploverspindle/settings/SettingsFileTest.java
+++ b/src/test/java/org/ploverspindle/settings/SettingsFileTest.java
@@ -73,4 +73,44 @@
       assertEquals("params.state." + small[0], warnings.get(0).field());
     }
   }
+
+  @Test
+  void lowerLimitsToComeAreReadAndTheSmallerOfBothIsKeptTo() throws Exception {
+    Settings s = SettingsFile.parse("s.toml", sample());
+    assertEquals(s.stateLimits(), s.writeLimits());
+    String next = sample() + "\n[params.state.next]\nvalue_kb = 2.5\ntxn_ops = 4000\n";
+    s = SettingsFile.parse("s.toml", next);
+    assertEquals(2560, s.writeLimits().valueBytes());
+    assertEquals(s.stateLimits().txnOps(), s.writeLimits().txnOps());
+    assertEquals(s.stateLimits().rps(), s.writeLimits().rps());
+    assertEquals(8192, s.stateLimits().valueBytes());
+  }
+
+  @Test
+  void wrongLowerLimitsAreRefusedWithTheirPlace() throws Exception {
+    int lines = sample().split("\n", -1).length;
+    String bad = sample() + "\n[params.state.next]\nvalue_kb = 2.5\ntxn_ops = 3\n";
+    assertEquals(
+        List.of(
+            "s.toml:" + (lines + 3) + ": params.state.next.txn_ops: must be a number, 4.0 or more"),
+        problems(bad));
+    String inline = sample().replace("[params.state]", "[params.state]\nnext = { rps = \"no\" }");
+    assertTrue(
+        problems(inline).get(0).startsWith("s.toml:28: params.state.next.rps: must be a number"),
+        problems(inline).toString());
+    String table = sample().replace("[params.state]", "[params.state]\nnext = 3");
+    assertEquals(List.of("s.toml:28: params.state.next: must be a table"), problems(table));
+  }
+
+  @Test
+  void lowerLimitsThatAreTooSmallAreNamed() throws Exception {
+    String small =
+        sample() + "\n[params.state.next]\nrps = 3\nwrite_rps = 1\nvalue_kb = 1\ntxn_ops = 4\n";
+    assertEquals(
+        List.of(
+            "params.state.next.rps", "params.state.next.write_rps", "params.state.next.value_kb"),
+        Sufficiency.warnings(SettingsFile.parse("s.toml", small)).stream()
+            .map(Sufficiency.Warning::field)
+            .toList());
+  }
 }
