--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -265,6 +265,13 @@
       list.add(catalogue.zoneName(z) + "," + bounds.get(z).min() + "," + bounds.get(z).max());
     }
     backoffs.record(type, v.putArray("backoff"));
+    if (Cbor.jsonSize(v) > settings.writeLimits().valueBytes()) {
+      v.remove("backoff");
+    }
+    if (Cbor.jsonSize(v) > settings.writeLimits().valueBytes()) {
+      // Kept by this leader alone: the next one begins anew, as after a long time without any.
+      return;
+    }
     String key = Keys.bounds(catalogue.type(type).name());
     if (!v.equals(writtenBounds.get(key)) && writes.spare()) {
       writtenBounds.put(key, v);
@@ -391,11 +398,22 @@
                 catalogue.update(types);
                 if (!typesRecorded && writes.spare() && host.mayDecide()) {
                   typesRecorded = true;
-                  writes.tell(
-                      new Change.Put(Keys.TYPES, TypesRecord.encode(catalogue.types())),
-                      ok -> typesRecorded = ok);
+                  record(TypesRecord.puts(catalogue.types(), settings.writeLimits().valueBytes()));
                 }
               });
         });
   }
+
+  private void record(List<Change.Put> rest) {
+    if (!rest.isEmpty()) {
+      writes.tell(
+          rest.get(0),
+          ok -> {
+            typesRecorded = ok;
+            if (ok) {
+              record(rest.subList(1, rest.size()));
+            }
+          });
+    }
+  }
 }
--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -226,6 +226,12 @@
     Optional<String> never = neverRuns(spec);
     JsonNode value = new SpecRecord(spec, scheduler.wallMs(), chunk).encode();
     int size = Cbor.jsonSize(value) + uid.get().length() + 4;
+    if (size > valueBytes - 50 && spec.types().isPresent()) {
+      // Types that the cloud does not name run nothing: a job is not refused for a list of them.
+      spec = spec.withTypes(spec.types().get().stream().filter(this::isKnownType).toList());
+      value = new SpecRecord(spec, scheduler.wallMs(), chunk).encode();
+      size = Cbor.jsonSize(value) + uid.get().length() + 4;
+    }
     if (never.isEmpty() && size > valueBytes - 50) {
       never = Optional.of("the job's description is too long to be kept");
     }
@@ -282,6 +288,10 @@
     return fits ? Optional.empty() : Optional.of("a task fits no allowed machine type");
   }
 
+  private boolean isKnownType(String name) {
+    return catalogue.typeIndex(name).isPresent();
+  }
+
   private static boolean beyond(double limit, double amount) {
     return limit > 0 && amount > limit + 1e-9;
   }
--- a/src/main/java/org/ploverspindle/jobs/JobSpec.java
+++ b/src/main/java/org/ploverspindle/jobs/JobSpec.java
@@ -33,6 +33,31 @@
     return Resources.needed(cores, accelerators, memoryGb);
   }
 
+  /** The same job, allowed on these machine types alone. */
+  public JobSpec withTypes(List<String> allowed) {
+    return new JobSpec(
+        uid,
+        jobClass,
+        team,
+        shape,
+        urgency,
+        tasks,
+        cores,
+        accelerators,
+        memoryGb,
+        Optional.of(allowed),
+        zone,
+        oneZone,
+        apart,
+        spot,
+        image,
+        imageGb,
+        expectedS,
+        saveEveryS,
+        saveCostS,
+        dueS);
+  }
+
   public boolean saves() {
     return saveEveryS > 0;
   }
--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -10,8 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
 import org.ploverspindle.leadership.Term;
 import org.ploverspindle.loop.Cancellable;
@@ -35,12 +35,17 @@
 /**
  * Makes the leader's progress durable: one transaction at a time, all that happened since the last
  * one in it. Changes are scarce, so what happened to the tasks of all jobs goes into one record of
- * a log with a fixed number of slots; before a slot is used again, each job that its old record
- * speaks of has been written whole into a checkpoint, or is over.
+ * a log with a fixed number of slots. A slot is used again only when no task's newest statement is
+ * in the record that stands there: each has been said again in a newer record, has been written
+ * with its whole chunk into a checkpoint, or its job is over.
+ *
+ * <p>Chunks of jobs that were accepted under higher limits may not fit into a value any more. What
+ * rests on old records of theirs is said again in new ones, as much as fits, before its slot's
+ * turn; a slot whose record can't be replaced yet is passed over.
  *
  * <p>Each write is bound to the leader key's version, so that a deposed leader's writes fail, and
- * to the version of every key it replaces, so that an unanswered write that is executed late can't
- * undo a later one: the next try goes to the same slots.
+ * to the version of every key it replaces. An unanswered write may be executed late: all that it
+ * said is said again under higher numbers, and readers take the highest.
  */
 public final class ProgressWriter {
   private static final Logger LOG = LoggerFactory.getLogger(ProgressWriter.class);
@@ -54,6 +59,15 @@
    */
   private static final int EARLY = ProgressLog.SLOTS / 4;
 
+  /** As small as a refused write's values are made: a record of one task still fits. */
+  private static final int LEAST_VALUE_BYTES = 512;
+
+  /** The least that a placement takes in a checkpoint. */
+  private static final int LEAST_LIVE_BYTES = 16;
+
+  /** A chunk whose checkpoint does not fit is not tried again before. */
+  private static final long LARGE_FOR_MS = 1_000;
+
   /** What happens to the writer's outcome. */
   public interface Listener {
     /** These became durable: their orders may go out. */
@@ -64,6 +78,8 @@
     void deposed(String cause);
   }
 
+  private static final BitSet NO_TASKS = new BitSet();
+
   private record Chunk(Job job, int index) {
     String key() {
       return Keys.progress(job.uid(), index);
@@ -77,8 +93,9 @@
   private final StateStore store;
   private final Replica replica;
   private final TokenBucket writes;
-  private final int txnOps;
-  private final int valueBytes;
+  private int txnOps;
+  private int valueBytes;
+  private int txnBytes = MAX_TXN_BYTES;
   private final Term term;
   private final Function<Machine, ProgressRecord.Host> hostNames;
   private final Listener listener;
@@ -88,11 +105,23 @@
   private final LinkedHashMap<String, Job> ending = new LinkedHashMap<>();
   private final LinkedHashSet<Chunk> removable = new LinkedHashSet<>();
 
-  /** By the log's record: chunks that it is the oldest to speak of since their checkpoint. */
-  private final TreeMap<Long, Set<Chunk>> uncovered = new TreeMap<>();
+  /** By the log's record: chunks with tasks whose newest statement is there, and which. */
+  private final TreeMap<Long, Map<Chunk, BitSet>> resting = new TreeMap<>();
+
+  /** The records in {@link #resting} that speak of the chunk. */
+  private final Map<Chunk, TreeSet<Long>> restingOn = new HashMap<>();
+
+  /** Until when a chunk is taken to be too large for a checkpoint. */
+  private final Map<Chunk, Long> largeUntilMs = new HashMap<>();
 
-  private final Map<Chunk, Long> oldest = new HashMap<>();
   private final long[] slotStamps = new long[ProgressLog.SLOTS];
+
+  /** The number of the record that stands in each slot, or 0. */
+  private final long[] standing = new long[ProgressLog.SLOTS];
+
+  /** Slots whose record can't be read: it stays, as a later leader must see it too. */
+  private final BitSet damaged = new BitSet();
+
   private long next;
   private long tries;
   private boolean busy;
@@ -131,20 +160,30 @@
 
   // ---- taking over
 
-  /** A record of the log, readable or not, stands in its slot. */
+  /** A record of the log stands in its slot. */
   public void loadedSlot(Entry entry, long n) {
     slotStamps[ProgressLog.slot(n)] = entry.stamp();
+    standing[ProgressLog.slot(n)] = n;
     next = Math.max(next, n + 1);
   }
 
+  /** What stands under this key of the log can't be read. */
+  public void loadedDamaged(String key) {
+    for (int slot = 0; slot < ProgressLog.SLOTS; slot++) {
+      if (Keys.log(slot).equals(key)) {
+        damaged.set(slot);
+      }
+    }
+  }
+
   /** A checkpoint that an earlier leader wrote. */
   public void loadedCheckpoint(Job job, int chunk, long stamp) {
     stamps.put(new Chunk(job, chunk), stamp);
   }
 
-  /** Record {@code n} speaks of the chunk, and no checkpoint covers it. */
-  public void loadedUncovered(Job job, int chunk, long n) {
-    spoken(new Chunk(job, chunk), n);
+  /** Record {@code n} speaks of these tasks, and no checkpoint covers it. */
+  public void loadedUncovered(Job job, BitSet tasks, long n) {
+    chunksOf(job, tasks).forEach((c, some) -> spoken(c, some, n));
   }
 
   public void loadedDone(Job job, BitSet done) {
@@ -177,7 +216,8 @@
     durableDone.remove(job);
     for (int i = 0; i < job.chunks(); i++) {
       Chunk c = new Chunk(job, i);
-      covered(c);
+      covered(c, Long.MAX_VALUE);
+      largeUntilMs.remove(c);
       if (stamps.getOrDefault(c, 0L) != 0) {
         removable.add(c);
       }
@@ -197,24 +237,55 @@
     return dirty.size() + ending.size();
   }
 
-  private void spoken(Chunk c, long n) {
-    Long before = oldest.get(c);
-    if (before == null || before > n) {
-      covered(c);
-      oldest.put(c, n);
-      uncovered.computeIfAbsent(n, x -> new LinkedHashSet<>()).add(c);
+  private static Map<Chunk, BitSet> chunksOf(Job job, BitSet tasks) {
+    Map<Chunk, BitSet> chunks = new LinkedHashMap<>();
+    for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
+      chunks.computeIfAbsent(new Chunk(job, job.chunkOf(t)), c -> new BitSet()).set(t);
     }
+    return chunks;
   }
 
-  private void covered(Chunk c) {
-    Long n = oldest.remove(c);
-    if (n != null) {
-      Set<Chunk> at = uncovered.get(n);
-      at.remove(c);
-      if (at.isEmpty()) {
-        uncovered.remove(n);
+  /** The tasks' statements move on to record {@code n}, unless newer ones stand. */
+  private void spoken(Chunk c, BitSet tasks, long n) {
+    BitSet newest = (BitSet) tasks.clone();
+    for (Long at : List.copyOf(restingOn.getOrDefault(c, new TreeSet<>()))) {
+      BitSet there = resting.get(at).get(c);
+      if (at > n) {
+        newest.andNot(there);
+      } else if (at < n) {
+        there.andNot(tasks);
+        if (there.isEmpty()) {
+          drop(c, at);
+        }
       }
     }
+    if (!newest.isEmpty()) {
+      resting
+          .computeIfAbsent(n, x -> new LinkedHashMap<>())
+          .computeIfAbsent(c, x -> new BitSet())
+          .or(newest);
+      restingOn.computeIfAbsent(c, x -> new TreeSet<>()).add(n);
+    }
+  }
+
+  private void drop(Chunk c, long n) {
+    Map<Chunk, BitSet> there = resting.get(n);
+    there.remove(c);
+    if (there.isEmpty()) {
+      resting.remove(n);
+    }
+    TreeSet<Long> on = restingOn.get(c);
+    on.remove(n);
+    if (on.isEmpty()) {
+      restingOn.remove(c);
+    }
+  }
+
+  /** No record up to {@code upTo} is needed for the chunk any more. */
+  private void covered(Chunk c, long upTo) {
+    for (Long n : List.copyOf(restingOn.getOrDefault(c, new TreeSet<>()).headSet(upTo, true))) {
+      drop(c, n);
+    }
   }
 
   /** The next flush comes this soon, or sooner if it was planned so. */
@@ -239,6 +310,7 @@
     if (busy || closed || dirty.isEmpty() && ending.isEmpty() && removable.isEmpty()) {
       return;
     }
+    dirty.values().removeIf(BitSet::isEmpty);
     int budget = (int) Math.min(txnOps, Math.floor(writes.available()));
     if (budget < 1) {
       plan(40);
@@ -257,7 +329,7 @@
         "writing {} changes, {} bytes: {} logs, {} ends, {} checkpoints; {} left",
         batch.changes.size(),
         batch.bytes,
-        batch.ids.size(),
+        batch.spokenOf.size(),
         batch.ended.size(),
         batch.checkpoints.size(),
         dirty.size());
@@ -278,9 +350,10 @@
     private final List<Job> ended = new ArrayList<>();
     private final List<Chunk> checkpoints = new ArrayList<>();
     private final List<Chunk> removed = new ArrayList<>();
-    private final Map<Long, Set<Chunk>> spokenOf = new LinkedHashMap<>();
-    private final Map<Long, String> ids = new LinkedHashMap<>();
+    private final Map<Long, Map<Chunk, BitSet>> spokenOf = new LinkedHashMap<>();
+    private final long firstN = next;
     private int bytes = 300;
+    private int largest;
 
     Batch(int budget) {
       this.budget = budget;
@@ -293,33 +366,18 @@
       if (endsFirst) {
         ends(Math.max(1, budget - 1));
       }
-      // A slot's old record may be replaced only when nothing rests on it any more; one record is
-      // always left room for, unless that first needs checkpoints.
-      long firstN = next;
-      checkpoint(firstN - ProgressLog.SLOTS, budget, firstN);
-      if (uncovered.isEmpty() || oldestUncovered() > firstN - ProgressLog.SLOTS) {
-        log(firstN);
-      }
+      checkpoint(firstN - ProgressLog.SLOTS, budget);
+      log();
       ends(budget);
       endsWaited = !ending.isEmpty();
-      checkpoint(next - ProgressLog.SLOTS + EARLY, Math.min(budget, changes.size() + 2), firstN);
+      checkpoint(next - ProgressLog.SLOTS + EARLY, Math.min(budget, changes.size() + 2));
       removals();
     }
 
-    /** The oldest record that something rests on which this transaction does not write. */
-    private long oldestUncovered() {
-      for (Map.Entry<Long, Set<Chunk>> e : uncovered.entrySet()) {
-        if (!checkpoints.containsAll(e.getValue())) {
-          return e.getKey();
-        }
-      }
-      return Long.MAX_VALUE;
-    }
-
     private boolean room(int most) {
       return changes.size() < most
           && conditions.size() + 2 <= txnOps * 4
-          && (changes.isEmpty() || bytes < MAX_TXN_BYTES - valueBytes);
+          && (changes.isEmpty() || bytes < txnBytes - valueBytes);
     }
 
     private void ends(int most) {
@@ -339,60 +397,145 @@
       }
     }
 
-    private void log(long firstN) {
-      long n = firstN;
-      int group = ProgressLog.Builder.tasksThatFit(valueBytes);
-      ProgressLog.Builder record = null;
-      Set<Chunk> chunks = new LinkedHashSet<>();
-      for (Iterator<Map.Entry<Job, BitSet>> it = dirty.entrySet().iterator(); it.hasNext(); ) {
-        Map.Entry<Job, BitSet> e = it.next();
-        Job job = e.getKey();
-        if (job.blocked() || job.finished()) {
-          it.remove();
+    /** Fills record after record. Whose slot can't be had yet is passed over. */
+    private void log() {
+      int records = 0;
+      for (long n = firstN;
+          n < firstN + ProgressLog.SLOTS && records < EARLY / 2 && room(budget);
+          n++) {
+        if (damaged.get(ProgressLog.slot(n))) {
           continue;
         }
-        BitSet open = e.getValue();
-        while (!open.isEmpty()) {
-          if (record == null) {
-            if (!room(budget)
-                || oldestUncovered() <= n - ProgressLog.SLOTS
-                || n - firstN >= EARLY / 2) {
-              return;
+        LogRecord record = new LogRecord(n);
+        if (!record.takesOver(standing[ProgressLog.slot(n)])) {
+          continue;
+        }
+        boolean more = record.moveOn() | record.news();
+        if (!more || record.tasksSaid.isEmpty()) {
+          return;
+        }
+        record.put();
+        records++;
+      }
+    }
+
+    /** One record in the making; nothing of it counts before it is put. */
+    private final class LogRecord {
+      private final long n;
+      private final ProgressLog.Builder builder;
+      private final Map<Chunk, BitSet> tasksSaid = new LinkedHashMap<>();
+      private final List<Said> saidHere = new ArrayList<>();
+
+      LogRecord(long n) {
+        this.n = n;
+        this.builder = new ProgressLog.Builder(n, term.token() + "." + ++tries, valueBytes - 100);
+      }
+
+      /** Says all that rests on the record it replaces; false if that can't be. */
+      boolean takesOver(long old) {
+        for (Map.Entry<Chunk, BitSet> e : resting.getOrDefault(old, Map.of()).entrySet()) {
+          BitSet open = open(e.getKey(), e.getValue());
+          if (!open.isEmpty() && (e.getKey().job().blocked() || !say(e.getKey().job(), open))) {
+            return false;
+          }
+        }
+        return true;
+      }
+
+      /** Of these tasks, those that this transaction does not say yet. */
+      private BitSet open(Chunk c, BitSet tasks) {
+        BitSet open = (BitSet) tasks.clone();
+        if (checkpoints.contains(c)) {
+          open.clear();
+        }
+        spokenOf.values().forEach(r -> open.andNot(r.getOrDefault(c, NO_TASKS)));
+        open.andNot(tasksSaid.getOrDefault(c, NO_TASKS));
+        return open;
+      }
+
+      /** Says what rests on old records and fits in no checkpoint; true if there was any. */
+      boolean moveOn() {
+        boolean any = false;
+        long upTo = firstN - ProgressLog.SLOTS + EARLY;
+        for (Map.Entry<Long, Map<Chunk, BitSet>> r : resting.headMap(upTo, true).entrySet()) {
+          for (Map.Entry<Chunk, BitSet> e : r.getValue().entrySet()) {
+            Chunk c = e.getKey();
+            if (!c.job().blocked() && isLarge(c)) {
+              BitSet open = open(c, e.getValue());
+              any |= !open.isEmpty();
+              if (!say(c.job(), open)) {
+                return true;
+              }
             }
-            record = new ProgressLog.Builder(n, id(), valueBytes - 100);
           }
-          BitSet tasks = firstOf(open, group);
-          Said s = new Said(job, tasks, new BitSet(), new ArrayList<>());
-          if (!record.add(delta(s))) {
-            put(n++, record, chunks);
-            record = null;
-            chunks = new LinkedHashSet<>();
+        }
+        return any;
+      }
+
+      /** Says what changed; true if there was any. */
+      boolean news() {
+        boolean any = false;
+        for (Iterator<Map.Entry<Job, BitSet>> it = dirty.entrySet().iterator(); it.hasNext(); ) {
+          Map.Entry<Job, BitSet> e = it.next();
+          Job job = e.getKey();
+          if (job.blocked() || job.finished()) {
+            it.remove();
             continue;
           }
-          open.andNot(tasks);
-          said.add(s);
-          for (int t = tasks.nextSetBit(0); t >= 0; t = tasks.nextSetBit(t + 1)) {
-            chunks.add(new Chunk(job, job.chunkOf(t)));
+          BitSet open = (BitSet) e.getValue().clone();
+          tasksSaid.forEach(
+              (c, tasks) -> {
+                if (c.job() == job) {
+                  open.andNot(tasks);
+                }
+              });
+          any |= !open.isEmpty();
+          if (!say(job, open)) {
+            return true;
           }
         }
-        it.remove();
-      }
-      if (record != null) {
-        put(n, record, chunks);
+        return any;
       }
-    }
 
-    private String id() {
-      return term.token() + "." + ++tries;
-    }
+      /** Says as many of the tasks as fit; true if all did. */
+      private boolean say(Job job, BitSet open) {
+        int sure = ProgressLog.Builder.tasksThatFit(valueBytes);
+        int group = Math.max(sure, valueBytes / 16);
+        while (!open.isEmpty()) {
+          BitSet tasks = firstOf(open, group);
+          Said s = new Said(job, tasks, new BitSet(), new ArrayList<>());
+          if (builder.add(delta(s))) {
+            open.andNot(tasks);
+            saidHere.add(s);
+            chunksOf(job, tasks)
+                .forEach((c, some) -> tasksSaid.computeIfAbsent(c, x -> new BitSet()).or(some));
+          } else if (group == 1) {
+            return false;
+          } else {
+            group = Math.max(1, Math.min(group, tasks.cardinality()) / 2);
+          }
+        }
+        return true;
+      }
 
-    private void put(long n, ProgressLog.Builder record, Set<Chunk> chunks) {
-      JsonNode value = record.value();
-      conditions.add(new Condition(Keys.log(n), slotStamps[ProgressLog.slot(n)]));
-      changes.add(new Change.Put(Keys.log(n), value));
-      bytes += record.bytes() + 150;
-      spokenOf.put(n, chunks);
-      ids.put(n, value.path("id").asText());
+      void put() {
+        JsonNode value = builder.value();
+        conditions.add(new Condition(Keys.log(n), slotStamps[ProgressLog.slot(n)]));
+        changes.add(new Change.Put(Keys.log(n), value));
+        bytes += builder.bytes() + 150;
+        largest = Math.max(largest, builder.bytes());
+        spokenOf.put(n, tasksSaid);
+        said.addAll(saidHere);
+        for (Said s : saidHere) {
+          BitSet left = dirty.get(s.job());
+          if (left != null) {
+            left.andNot(s.tasks());
+            if (left.isEmpty()) {
+              dirty.remove(s.job());
+            }
+          }
+        }
+      }
     }
 
     private ProgressLog.Delta delta(Said s) {
@@ -419,21 +562,21 @@
           p.task(), p.attempt(), hostNames.apply(p.machine()), p.tenure());
     }
 
-    /** Writes whole what records up to {@code upToRecord} speak of. */
-    private void checkpoint(long upToRecord, int most, long firstN) {
-      for (Map.Entry<Long, Set<Chunk>> e : uncovered.headMap(upToRecord, true).entrySet()) {
-        for (Chunk c : e.getValue()) {
+    /** Writes whole what rests on records up to {@code upToRecord}, where it fits. */
+    private void checkpoint(long upToRecord, int most) {
+      for (Map<Chunk, BitSet> r : resting.headMap(upToRecord, true).values()) {
+        for (Chunk c : r.keySet()) {
           if (!room(most)) {
             return;
           }
-          if (!checkpoints.contains(c) && !c.job().blocked()) {
-            addCheckpoint(c, firstN);
+          if (!checkpoints.contains(c) && !c.job().blocked() && !isLarge(c)) {
+            addCheckpoint(c);
           }
         }
       }
     }
 
-    private void addCheckpoint(Chunk c, long firstN) {
+    private void addCheckpoint(Chunk c) {
       Job job = c.job();
       int from = c.index() * job.chunkSize();
       int to = Math.min(job.spec().tasks(), from + job.chunkSize());
@@ -453,9 +596,15 @@
       JsonNode value =
           new ProgressRecord(s.done(), live, live.size(), firstN - 1)
               .encode(job.done().cardinality(), job.live().size());
+      int size = Cbor.jsonSize(value);
+      if (size > valueBytes) {
+        largeUntilMs.put(c, scheduler.nowMs() + LARGE_FOR_MS);
+        return;
+      }
       conditions.add(new Condition(c.key(), stamps.getOrDefault(c, 0L)));
       changes.add(new Change.Put(c.key(), value));
-      bytes += Cbor.jsonSize(value) + 150;
+      bytes += size + 150;
+      largest = Math.max(largest, size);
       said.add(s);
       checkpoints.add(c);
     }
@@ -473,6 +622,23 @@
     }
   }
 
+  /** Does its checkpoint not fit into a value, as far as is known? */
+  private boolean isLarge(Chunk c) {
+    Job job = c.job();
+    int live = 0;
+    int from = c.index() * job.chunkSize();
+    if (largeUntilMs.getOrDefault(c, Long.MIN_VALUE) > scheduler.nowMs()) {
+      return true;
+    }
+    if (job.chunkSize() * LEAST_LIVE_BYTES <= valueBytes) {
+      return false;
+    }
+    for (int t = from; t < Math.min(job.spec().tasks(), from + job.chunkSize()); t++) {
+      live += job.liveAt(t) == null ? 0 : 1;
+    }
+    return live * LEAST_LIVE_BYTES > valueBytes;
+  }
+
   private static BitSet firstOf(BitSet tasks, int most) {
     BitSet first = new BitSet();
     int n = 0;
@@ -503,11 +669,22 @@
     }
     if (result instanceof TxnResult.Refused refused) {
       if (refused.status() == 400) {
-        LOG.error("the state service calls a write malformed: {} changes", batch.changes.size());
+        LOG.error(
+            "the state service takes no write of {} conditions, {} changes, about {} bytes, {} in"
+                + " the largest value: the next ones are smaller",
+            batch.conditions.size(),
+            batch.changes.size(),
+            batch.bytes,
+            batch.largest);
+        shrink(batch);
       }
       plan(Math.min(1_000, 60L << Math.min(4, failures)));
       return;
     }
+    if (result instanceof TxnResult.Unknown) {
+      // It may yet stand: what is written after it has higher numbers, and so is what counts.
+      batch.spokenOf.keySet().forEach(n -> next = Math.max(next, n + 1));
+    }
     // Unknown or conflict: only reading back tells what stands there now.
     busy = true;
     replica.barrier(
@@ -523,6 +700,19 @@
         });
   }
 
+  /**
+   * A write as large as this is not tried again: what the service does not take now it never takes.
+   * The lower bounds stay for the term, as nobody tells when more would be taken.
+   */
+  private void shrink(Batch batch) {
+    txnOps = Math.max(1, Math.min(txnOps, batch.changes.size()) / 2);
+    valueBytes =
+        batch.largest <= LEAST_VALUE_BYTES
+            ? valueBytes
+            : Math.max(LEAST_VALUE_BYTES, Math.min(valueBytes, batch.largest) / 2);
+    txnBytes = Math.max(2 * LEAST_VALUE_BYTES, Math.min(txnBytes, batch.bytes) / 2);
+  }
+
   /** Whatever the transaction said is to be written again, as it will be then. */
   private void again(Batch batch) {
     for (Said s : batch.said) {
@@ -553,34 +743,29 @@
         finish(job);
       }
     }
-    // A record of an earlier try, executed late, may stand in a slot instead of this one. What it
-    // said is written again by the next; only its place in the log is taken.
-    while (true) {
-      Optional<Entry> e = replica.get(Keys.log(next));
-      if (e.isEmpty() || e.get().value().path("n").asLong() != next) {
-        break;
-      }
-      taken(e.get());
-    }
+    // A record of an earlier try, executed late, may stand in a slot. What it said is written again
+    // by the next; only its place in the log is taken.
+    replica.under(Keys.LOG).values().forEach(this::taken);
   }
 
-  /** A record of an unanswered write stands: all that it speaks of rests on it until covered. */
+  /** If a record of an unanswered write stands, what it speaks of rests on it. */
   private void taken(Entry e) {
-    ProgressLog.decode(e.value())
-        .ifPresent(
-            record -> {
-              for (ProgressLog.Delta d : record.deltas()) {
-                Job job = jobOf(d.uid());
-                if (job != null) {
-                  BitSet tasks = (BitSet) d.done().clone();
-                  tasks.or(d.cleared());
-                  d.live().forEach(l -> tasks.set(l.task()));
-                  tasks.stream().forEach(t -> spoken(new Chunk(job, job.chunkOf(t)), next));
-                }
-              }
-            });
-    slotStamps[ProgressLog.slot(next)] = e.stamp();
-    next++;
+    Optional<ProgressLog> record = ProgressLog.decode(e.value());
+    long n = record.map(ProgressLog::n).orElse(-1L);
+    int slot = ProgressLog.slot(Math.max(0, n));
+    if (n < 0 || !Keys.log(n).equals(e.key()) || slotStamps[slot] == e.stamp()) {
+      return;
+    }
+    for (ProgressLog.Delta d : record.get().deltas()) {
+      Job job = jobOf(d.uid());
+      if (job != null) {
+        BitSet tasks = (BitSet) d.done().clone();
+        tasks.or(d.cleared());
+        d.live().forEach(l -> tasks.set(l.task()));
+        loadedUncovered(job, tasks, n);
+      }
+    }
+    loadedSlot(e, n);
   }
 
   private Job jobOf(String uid) {
@@ -589,6 +774,11 @@
         return job;
       }
     }
+    for (Chunk c : restingOn.keySet()) {
+      if (c.job().uid().equals(uid)) {
+        return c.job();
+      }
+    }
     return null;
   }
 
@@ -596,17 +786,19 @@
     batch.checkpoints.forEach(
         c -> {
           stamps.put(c, ledger);
-          covered(c);
+          covered(c, batch.firstN - 1);
         });
     batch.spokenOf.forEach(
         (n, chunks) -> {
           slotStamps[ProgressLog.slot(n)] = ledger;
+          standing[ProgressLog.slot(n)] = n;
           next = Math.max(next, n + 1);
-          for (Chunk c : chunks) {
-            if (!c.job().finished()) {
-              spoken(c, n);
-            }
-          }
+          chunks.forEach(
+              (c, tasks) -> {
+                if (!c.job().finished() && !(c.job().cancelled() && c.job().live().isEmpty())) {
+                  spoken(c, tasks, n);
+                }
+              });
         });
     List<Placement> durable = new ArrayList<>();
     for (Said s : batch.said) {
--- a/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
+++ b/src/main/java/org/ploverspindle/jobs/RecordedProgress.java
@@ -42,6 +42,7 @@
         records.add(record.get());
       } else {
         LOG.error("the record {} can't be read: nothing starts until every lease is over", e.key());
+        writer.loadedDamaged(e.key());
         logDamaged = true;
       }
     }
@@ -91,29 +92,35 @@
   }
 
   private void apply(Job job, long n, ProgressLog.Delta d, long[] upTo, State state) {
+    BitSet newer = new BitSet();
     d.done().stream()
         .filter(t -> newer(job, t, n, upTo))
         .forEach(
             t -> {
+              newer.set(t);
               state.done.set(t);
               state.live.remove(t);
             });
-    d.cleared().stream().filter(t -> newer(job, t, n, upTo)).forEach(state.live::remove);
+    d.cleared().stream()
+        .filter(t -> newer(job, t, n, upTo))
+        .forEach(
+            t -> {
+              newer.set(t);
+              state.live.remove(t);
+            });
     for (ProgressRecord.Live l : d.live()) {
       if (newer(job, l.task(), n, upTo)) {
+        newer.set(l.task());
         state.live.put(l.task(), l);
       }
     }
-  }
-
-  private boolean newer(Job job, int task, long n, long[] upTo) {
-    if (task >= job.spec().tasks() || n <= upTo[job.chunkOf(task)]) {
-      return false;
-    }
     if (!job.blocked()) {
-      writer.loadedUncovered(job, job.chunkOf(task), n);
+      writer.loadedUncovered(job, newer, n);
     }
-    return true;
+  }
+
+  private static boolean newer(Job job, int task, long n, long[] upTo) {
+    return task < job.spec().tasks() && n > upTo[job.chunkOf(task)];
   }
 
   private static int chunkOf(String key) {
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -185,10 +185,7 @@
    */
   private void look() {
     if (!catalogue.known()) {
-      replica
-          .get(Keys.TYPES)
-          .flatMap(e -> TypesRecord.decode(e.value()))
-          .ifPresent(catalogue::update);
+      TypesRecord.read(replica).ifPresent(catalogue::update);
     }
     boolean failing = steward.map(Steward::writesFail).orElse(false);
     reach.look(failing);
--- a/src/main/java/org/ploverspindle/state/Keys.java
+++ b/src/main/java/org/ploverspindle/state/Keys.java
@@ -46,6 +46,11 @@
     return progressOf(uid) + String.format(Locale.ROOT, "%05d", chunk);
   }
 
+  /** One of several records of the machine types, where one value can't hold them. */
+  public static String types(int part) {
+    return TYPES + "/" + String.format(Locale.ROOT, "%04d", part);
+  }
+
   public static String claim(String name) {
     return CLAIMS + name;
   }
