--- a/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/jobs/ProgressWriter.java
@@ -483,12 +483,9 @@
             continue;
           }
           BitSet open = (BitSet) e.getValue().clone();
-          tasksSaid.forEach(
-              (c, tasks) -> {
-                if (c.job() == job) {
-                  open.andNot(tasks);
-                }
-              });
+          chunksOf(job, open)
+              .keySet()
+              .forEach(c -> open.andNot(tasksSaid.getOrDefault(c, NO_TASKS)));
           any |= !open.isEmpty();
           if (!say(job, open)) {
             return true;
--- a/src/test/java/org/ploverspindle/sim/LowerLimitsTest.java
+++ b/src/test/java/org/ploverspindle/sim/LowerLimitsTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ploverspindle.Specs;
 import org.ploverspindle.jobs.Job;
+import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.ProgressWriter;
 import org.ploverspindle.jobs.RecordedProgress;
 import org.ploverspindle.jobs.Resources;
@@ -470,6 +471,48 @@
     takeOver();
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void controllersGoOnWhenTheLimitsFall(long seed) {
+    Settings.StateLimits next = new Settings.StateLimits(80, 20, 2, 4);
+    World.Site small = World.Site.small(3, 30, List.of("a", "b"));
+    World w =
+        new World(
+            seed,
+            new World.Site(
+                small.nodes(),
+                small.capacity(),
+                small.zones(),
+                small.workers(),
+                new Settings.StateLimits(200, 60, 8, 12, Optional.of(next)),
+                small.cloud(),
+                small.teams(),
+                small.policy()));
+    List<String> unknown = new ArrayList<>(List.of("large"));
+    for (int i = 0; i < 200; i++) {
+      unknown.add("type-that-the-cloud-does-not-name-" + i);
+    }
+    for (int i = 0; i < 120; i++) {
+      int tasks = 1 + w.random.nextInt(i % 10 == 0 ? 120 : 6);
+      boolean named = i % 7 == 0;
+      w.clock.at(
+          3_000 + i * 1_000,
+          () -> {
+            JobSpec s = Specs.batch(w.newUid(), "c", "blue", Urgency.NORMAL, tasks, 0.5, 0.1, 5, 0);
+            w.user(named ? s.withTypes(unknown) : s);
+          });
+    }
+    w.clock.at(50_000, () -> w.state.limits(next));
+    w.clock.at(60_000, () -> w.crash(w.leader(), 1_000));
+    w.clock.at(90_000, () -> w.crash(w.leader(), 1_000));
+    w.clock.at(130_000, w::troublesAreOver);
+    w.clock.runUntil(400_000);
+    w.checker.endOfDay();
+    assertEquals(List.of(), w.checker.broken());
+    assertEquals(120, w.checker.jobsDone());
+    assertEquals(0, w.state.tooLarge(), "refused for their size");
+  }
+
   /** Production's last records stand in every slot, and its oldest is more than one now holds. */
   @Test
   void aRecordTooLargeToBeReplacedIsPassedOverUntilItHasMovedOn() {
--- a/src/test/java/org/ploverspindle/sim/SimState.java
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -29,6 +29,7 @@
   private final SimClock clock;
   private Settings.StateLimits limits;
   private boolean limitsFell;
+  private int tooLarge;
   final Rate requests;
   final Rate changes;
   private final TreeMap<String, Kept> keys = new TreeMap<>();
@@ -46,6 +47,11 @@
     this.changes = new Rate(clock, limits.writeRps(), 1);
   }
 
+  /** How many transactions were refused for their size. */
+  int tooLarge() {
+    return tooLarge;
+  }
+
   /** From now on these are the limits; nobody is told. */
   void limits(Settings.StateLimits now) {
     limits = now;
@@ -134,6 +140,7 @@
       if (!limitsFell) {
         throw new IllegalStateException("a transaction is beyond the limits: " + txn);
       }
+      tooLarge++;
       return false;
     }
     return true;
--- /dev/null
+++ b/src/test/java/org/ploverspindle/state/TypesRecordTest.java
@@ -0,0 +1,49 @@
+package org.ploverspindle.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.cloud.MachineType;
+import org.ploverspindle.jobs.Resources;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.StateStore.Change;
+
+class TypesRecordTest {
+  private static List<MachineType> types(int n) {
+    return IntStream.range(0, n)
+        .mapToObj(
+            i ->
+                new MachineType(
+                    "machine-type-" + i,
+                    Resources.offered(16, 0, 64),
+                    40,
+                    1.25,
+                    1.07,
+                    0.39,
+                    30,
+                    List.of("zone-a", "zone-b")))
+        .toList();
+  }
+
+  @Test
+  void manyTypesAreKeptInPartsThatFitAndFewInTheRecordThatAllVersionsRead() {
+    assertEquals(
+        List.of(new Change.Put(Keys.TYPES, TypesRecord.encode(types(3)))),
+        TypesRecord.puts(types(3), 2048));
+    for (int n : new int[] {14, 40}) {
+      List<Change.Put> puts = TypesRecord.puts(types(n), 2048);
+      List<MachineType> read = new ArrayList<>();
+      for (int i = 0; i < puts.size(); i++) {
+        assertEquals(Keys.types(i), puts.get(i).key());
+        assertTrue(Cbor.jsonSize(puts.get(i).value()) <= 2048);
+        assertEquals(puts.size(), puts.get(i).value().path("parts").asInt());
+        read.addAll(TypesRecord.decode(puts.get(i).value()).orElseThrow());
+      }
+      assertEquals(types(n), read);
+    }
+  }
+}
