--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -150,21 +150,21 @@
             scheduler,
             store,
             replica,
-            settings.stateLimits().txnOps(),
-            settings.stateLimits().writeRps());
+            settings.writeLimits().txnOps(),
+            settings.writeLimits().writeRps());
     this.counts = counts;
     this.nonce = nonce;
     this.changedForLeader = changedForLeader;
-    this.valueBytes = Math.min(settings.stateLimits().valueBytes(), MAX_VALUE_BYTES);
+    this.valueBytes = Math.min(settings.writeLimits().valueBytes(), MAX_VALUE_BYTES);
     this.scheduler = scheduler;
     this.store = store;
     this.cancellations =
-        new Cancellations(scheduler, store, writes, settings.stateLimits().txnOps());
+        new Cancellations(scheduler, store, writes, settings.writeLimits().txnOps());
     this.replica = replica;
     this.catalogue = catalogue;
     this.settings = settings;
     this.writes = writes;
-    this.chunk = ProgressRecord.chunkFor(settings.stateLimits().valueBytes());
+    this.chunk = ProgressRecord.chunkFor(settings.writeLimits().valueBytes());
   }
 
   /** Calls with true at the barrier, or with false when it can't be had in the user's time. */
@@ -290,6 +290,11 @@
     }
     Request request = request(spec, then);
     Optional<String> never = neverRuns(spec);
+    if (request.bytes() > mostBytes() && spec.types().isPresent()) {
+      // Types that the cloud does not name run nothing: a job is not refused for a list of them.
+      spec = spec.withTypes(spec.types().get().stream().filter(this::isKnownType).toList());
+      request = request(spec, then);
+    }
     if (never.isEmpty() && request.bytes() > mostBytes()) {
       never = Optional.of("the job's description is too long to be kept");
     }
@@ -393,7 +398,7 @@
    * when the copy does not show them all, or they are too many for a transaction's conditions.
    */
   private Optional<List<String>> guards(JobSpec spec) {
-    int most = Math.min(MOST_GUARDS, 4 * settings.stateLimits().txnOps() - 3);
+    int most = Math.min(MOST_GUARDS, 4 * settings.writeLimits().txnOps() - 3);
     if (wrongDependency(spec).isPresent()) {
       return Optional.empty();
     }
@@ -478,6 +483,10 @@
     return fits ? Optional.empty() : Optional.of("a task fits no allowed machine type");
   }
 
+  private boolean isKnownType(String name) {
+    return catalogue.typeIndex(name).isPresent();
+  }
+
   private static boolean beyond(double limit, double amount) {
     return limit > 0 && amount > limit + 1e-9;
   }
@@ -512,7 +521,7 @@
       return;
     }
     long now = scheduler.nowMs();
-    int budget = (int) Math.min(settings.stateLimits().txnOps(), Math.floor(writes.available()));
+    int budget = (int) Math.min(settings.writeLimits().txnOps(), Math.floor(writes.available()));
     boolean beyond = budget < 1;
     if (beyond && (now - refusedMs < STRICT_MS || now - flushedMs < BEYOND_SHARE_MS)) {
       planFlush(20);
@@ -558,7 +567,7 @@
 
   /** Those of the job itself, and one for the record that it will stand in. */
   private boolean conditionsFit(int conditions, Creation c) {
-    return conditions + 3 + c.guards().size() <= 4 * settings.stateLimits().txnOps();
+    return conditions + 3 + c.guards().size() <= 4 * settings.writeLimits().txnOps();
   }
 
   private void giveUp(Creation c) {
--- a/src/test/java/org/ploverspindle/front/IntakeTest.java
+++ b/src/test/java/org/ploverspindle/front/IntakeTest.java
@@ -11,6 +11,7 @@
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.net.Cbor;
+import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.settings.Address;
 import org.ploverspindle.settings.Settings;
 import org.ploverspindle.state.Keys;
@@ -59,6 +60,7 @@
             store,
             replica,
             specs,
+            new Pipelines(store, replica, specs),
             counts,
             catalogue,
             settings,
--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -340,10 +340,6 @@
     return jobs.get(uid).doneMs;
   }
 
-  int tasksDone(String uid) {
-    return jobs.get(uid).done.size();
-  }
-
   boolean isAccepted(String uid) {
     return jobs.get(uid).acceptedMs <= clock.nowMs();
   }
--- a/src/test/java/org/ploverspindle/sim/LeaderMeetingsTest.java
+++ b/src/test/java/org/ploverspindle/sim/LeaderMeetingsTest.java
@@ -129,7 +129,8 @@
           runS,
           0,
           0,
-          OptionalDouble.empty());
+          OptionalDouble.empty(),
+          List.of());
     }
 
     JobSpec bound(JobSpec s, String zone, boolean together, boolean apart) {
@@ -153,7 +154,8 @@
           s.expectedS(),
           0,
           0,
-          OptionalDouble.empty());
+          OptionalDouble.empty(),
+          List.of());
     }
 
     JobSpec pressing(JobSpec s) {
@@ -177,7 +179,8 @@
           s.expectedS(),
           0,
           0,
-          OptionalDouble.of(30));
+          OptionalDouble.of(30),
+          List.of());
     }
 
     /** Both teams' jobs, one after another. */
