A batch of submissions refused for its size is named with its size in the log

Nothing is built above the lower limits, so a 400 here is a defect or a limit that nobody told: it has to be seen.

--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -392,7 +392,13 @@
         c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", "queued")));
       }
       changedForLeader.run();
-    } else if (result instanceof TxnResult.Refused) {
+    } else if (result instanceof TxnResult.Refused refused) {
+      if (refused.status() == 400) {
+        LOG.error(
+            "the state service takes no write of {} jobs, {} bytes together",
+            batch.size(),
+            batch.stream().mapToInt(Creation::bytes).sum());
+      }
       // All nodes together ask for more than the service gives: the leader's writes go first.
       writes.take(REFUSED_COST);
       refusedMs = scheduler.nowMs();
