Submissions that wait for a read have theirs at once; polls leave them that share

Polls, which come every few seconds and hold nobody up, now have half of the share; the rest is there, up to three reads ahead, for who waits to go on.

--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -169,6 +169,10 @@
 
   /** Calls with true at the barrier, or with false when it can't be had in the user's time. */
   private void barrier(Consumer<Boolean> then) {
+    barrier(replica::barrier, then);
+  }
+
+  private void barrier(Consumer<Consumer<Boolean>> read, Consumer<Boolean> then) {
     long cameMs = scheduler.nowMs();
     boolean[] answered = {false};
     Consumer<Boolean> once =
@@ -185,7 +189,7 @@
       once.accept(false);
       return;
     }
-    replica.barrier(once);
+    read.accept(once);
     scheduler.schedule(BARRIER_LIMIT_MS, () -> once.accept(false));
   }
 
@@ -242,7 +246,9 @@
     } else if (!replica.loaded()) {
       then.accept(notNow());
     } else {
+      // Polls come every few seconds for each job, and nobody waits for one to go on.
       barrier(
+          replica::patientBarrier,
           ok ->
               then.accept(
                   !ok
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -32,6 +32,12 @@
   private static final int PAGE = 500;
   private static final long FIRST_SPACING_MS = 150;
 
+  /** So many reads may go out ahead of this node's share. */
+  private static final long BURST = 2;
+
+  /** Who has time gets half of the share, so that the other half is there for who has not. */
+  private static final long PATIENT_SPACINGS = 2;
+
   private final Scheduler scheduler;
   private final StateStore store;
   private final String prefix;
@@ -41,7 +47,15 @@
   private List<Consumer<Boolean>> waiting = new ArrayList<>();
   private boolean loaded;
   private boolean busy;
-  private boolean readPlanned;
+  private Optional<Cancellable> planned = Optional.empty();
+  private long plannedMs;
+
+  /** Somebody waits who should not wait for long. */
+  private boolean hurry;
+
+  /** Until then this node's share of requests is used up by the reads that went out. */
+  private long spentUntilMs = Long.MIN_VALUE / 2;
+
   private long ledger;
   private long lastSentMs = Long.MIN_VALUE / 2;
   private long freshAsOfMs = Long.MIN_VALUE / 2;
@@ -66,7 +80,7 @@
     return scheduler.every(idlePeriodMs, this::readIfIdle);
   }
 
-  /** Reads go out at least this far apart: this node's share of the state service's requests. */
+  /** Reads go out this far apart on average: this node's share of the state service's requests. */
   public void spacing(long ms) {
     spacingMs = ms;
   }
@@ -103,27 +117,56 @@
    * it could not be read.
    */
   public void barrier(Consumer<Boolean> then) {
+    waiting.add(then);
+    hurry = true;
+    planRead();
+  }
+
+  /**
+   * The same for who has time: questions come all the while, and the reads that each would have at
+   * once are left to those whose users wait to go on.
+   */
+  public void patientBarrier(Consumer<Boolean> then) {
     waiting.add(then);
     planRead();
   }
 
   private void planRead() {
-    if (busy || readPlanned) {
+    if (busy) {
       return;
     }
-    // Wider apart while reads fail: polls must not use up the requests that leadership needs.
-    long wait = lastSentMs + Math.min(600, spacingMs * (1 + failures)) - scheduler.nowMs();
+    long dueMs = dueMs();
+    if (planned.isPresent() && plannedMs <= dueMs) {
+      return;
+    }
+    planned.ifPresent(Cancellable::cancel);
+    planned = Optional.empty();
+    long wait = dueMs - scheduler.nowMs();
     if (wait <= 0) {
       read();
     } else {
-      readPlanned = true;
-      scheduler.schedule(
-          wait,
-          () -> {
-            readPlanned = false;
-            read();
-          });
+      plannedMs = dueMs;
+      planned =
+          Optional.of(
+              scheduler.schedule(
+                  wait,
+                  () -> {
+                    planned = Optional.empty();
+                    read();
+                  }));
+    }
+  }
+
+  /** When the next read may go out, given who waits for it. */
+  private long dueMs() {
+    if (failures > 0) {
+      // Wider apart while reads fail: polls must not use up the requests that leadership needs.
+      return lastSentMs + Math.min(600, spacingMs * (1 + failures));
+    }
+    if (hurry) {
+      return spentUntilMs - BURST * spacingMs;
     }
+    return lastSentMs + Math.min(600, PATIENT_SPACINGS * spacingMs);
   }
 
   private void read() {
@@ -135,10 +178,11 @@
       return;
     }
     busy = true;
-    lastSentMs = scheduler.nowMs();
+    sending();
     long sentMs = lastSentMs;
     List<Consumer<Boolean>> served = waiting;
     waiting = new ArrayList<>();
+    hurry = false;
     store.changesAfter(prefix, ledger, news -> received(news, sentMs, served));
   }
 
@@ -155,6 +199,7 @@
     } else if (news instanceof News.TooOld) {
       loaded = false;
       waiting.addAll(served);
+      hurry = true;
       reload();
     } else {
       failures++;
@@ -186,12 +231,17 @@
     }
   }
 
+  private void sending() {
+    lastSentMs = scheduler.nowMs();
+    spentUntilMs = Math.max(spentUntilMs, lastSentMs) + spacingMs;
+  }
+
   private void reload() {
     if (busy) {
       return;
     }
     busy = true;
-    lastSentMs = scheduler.nowMs();
+    sending();
     long sentMs = lastSentMs;
     loadPage("", -1, new HashSet<>(), sentMs);
   }
