--- a/src/test/java/org/ploverspindle/sim/LeaderMeetingsTest.java
+++ b/src/test/java/org/ploverspindle/sim/LeaderMeetingsTest.java
@@ -413,6 +413,9 @@
         stay.forEach(x -> d.reachesOnly(x, old, true));
         w.clock.at(lasting, () -> stay.forEach(x -> d.reachesOnly(x, old, false)));
         d.keepFrom(old, stay, lasting);
+        // Nor can anybody return them, or rent one that would tell the old leader of the new one.
+        w.cloud.outage(true);
+        w.clock.at(lasting, () -> w.cloud.outage(false));
         List<String> jobs = d.jobsOn(stay);
         int[] others = {-1};
         for (long t = 200; t < 15_000; t += 200) {
