--- a/src/test/java/org/ploverspindle/sim/SimNetwork.java
+++ b/src/test/java/org/ploverspindle/sim/SimNetwork.java
@@ -21,6 +21,7 @@
   private final Map<String, List<Runnable>> held = new HashMap<>();
   private final Map<String, Integer> slow = new HashMap<>();
   private double lateShare;
+  private double heldCommands;
   private double copyShare;
   private double lateWrites;
   private boolean writesAtOnce;
@@ -127,6 +128,19 @@
     }
   }
 
+  /**
+   * This share of the direct commands is held up for seconds and then carried out, while reports on
+   * connections of their own overtake them.
+   */
+  void heldCommands(double share) {
+    heldCommands = share;
+  }
+
+  long commandHeldMs() {
+    boolean held = heldCommands > 0 && random.nextDouble() < heldCommands;
+    return held ? 1_600 + random.nextInt(7_000) : 0;
+  }
+
   /** Each way to and from the host takes up to so long; 0: as ever. */
   void slow(String host, int mostMs) {
     slow.put(host, mostMs);
--- a/src/test/java/org/ploverspindle/sim/UserMeetingsTest.java
+++ b/src/test/java/org/ploverspindle/sim/UserMeetingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.ploverspindle.Specs;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.net.Cbor;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
 
@@ -155,6 +157,8 @@
   void machinesReachNoControllerWhileDirectCommandsReachThem(long seed) {
     world(seed, 8);
     jobs(4_000, 75, 1_000, Urgency.HIGH, 2, 9);
+    // Longer than a lease: they are on those machines until it runs out.
+    jobs(4_500, 10, 1_500, Urgency.HIGH, 2, 60);
     int muteMs = (int) (timing(seed).leaseS() * 1_500);
     Set<String> mute = new HashSet<>();
     for (int round = 0; round < 2; round++) {
@@ -163,7 +167,7 @@
           20_000 + round * (muteMs + 8_000),
           () -> {
             for (SimWorker x : w.cloud.workers()) {
-              if (!x.gone() && (all || random.nextInt(3) > 0)) {
+              if (!x.gone() && (all || random.nextInt(3) == 0)) {
                 mute.add(x.host());
                 w.network.machineMute(x.host(), true);
                 w.clock.at(muteMs, () -> w.network.machineMute(x.host(), false));
@@ -175,7 +179,7 @@
     cancellations(24_000, 10, 4_000);
     runUntilOver(30_000 + 2 * muteMs + 8_000, 120_000);
     cameAbout("machines that reached no controller", 2, mute.size());
-    cameAbout("direct commands to them", 2, w.directsToMute());
+    cameAbout("launches that reached them directly", 1, w.directsToMute());
     cameAbout("cancelled while on", 2, w.checker.cancelledWhileOn());
   }
 
@@ -183,14 +187,16 @@
   @ValueSource(longs = {1, 2, 3, 4})
   void commandsAreHeldUpForSecondsAndTheMachineGoesOn(long seed) {
     world(seed, 8);
-    jobs(4_000, 80, 700, Urgency.HIGH, 2, 7);
+    jobs(4_000, 110, 600, Urgency.HIGH, 1, 15);
+    w.network.heldCommands(0.7);
+    w.clock.at(80_000, () -> w.network.heldCommands(0));
     for (int at = FROM_MS; at < 70_000; at += 3_000) {
       w.clock.at(at, () -> w.cloud.workers().forEach(this::holdUp));
     }
     cancellations(FROM_MS + 4_000, 20, 2_500);
     w.clock.at(40_000, () -> w.crash(Math.max(0, w.leader()), 500));
     runUntilOver(80_000, 120_000);
-    cameAbout("commands carried out late", 2, w.lateDirects());
+    cameAbout("launches carried out late", 5, w.lateDirects());
     cameAbout("cancelled while on", 8, w.checker.cancelledWhileOn());
   }
 
@@ -263,11 +269,12 @@
     for (int i = 0; i < count; i++) {
       boolean cancelled = i % 4 == 3;
       w.clock.at(
-          FROM_MS + i * 250,
+          // Four a second, many at once: what comes together is written together.
+          FROM_MS + i / 24 * 6_000,
           () -> {
             String uid = submit("blue", Urgency.NORMAL, 1, 0.5, 4);
             if (cancelled) {
-              w.clock.at(1_000 + random.nextInt(5_000), () -> w.cancel(uid, 0));
+              w.clock.at(3_000, () -> w.cancel(uid, 0));
             }
           });
     }
@@ -286,13 +293,13 @@
           after[1] = w.state.changes.amount();
         });
     runUntilOver(FROM_MS + count * 250, 90_000);
-    cameAbout("cancelled while on", 20, w.checker.cancelledWhileOn());
+    cameAbout("cancelled while on", 10, w.checker.cancelledWhileOn());
     cameAbout("done", count * 3 / 4, w.checker.jobsDone());
     double requests = (after[0] - before[0]) / count;
     double changes = (after[1] - before[1]) / count;
-    // By far most requests are reads, which do not grow with the jobs.
-    assertTrue(requests <= 7.5, requests + " requests for a job");
-    assertTrue(changes <= 3.2, changes + " changes for a job");
+    // Measured: 3.7 to 4.3 requests, mostly reads, and 1.3 changes; 2.3 changes if each went alone.
+    assertTrue(requests <= 4.6, requests + " requests for a job");
+    assertTrue(changes <= 1.6, changes + " changes for a job");
     cameAbout("requests below the rate", 50, 120 - Math.round(w.state.requests.mostInASecond()));
     assertEquals(0, w.state.requests.refused(), "requests beyond the state service's rate");
     assertEquals(0, w.state.changes.refused(), "changes beyond the state service's rate");
@@ -407,13 +414,27 @@
     cameAbout("cancelled while on", 12, w.checker.cancelledWhileOn());
   }
 
+  /** The id counts, whatever else the body says, from the moment at which any node knows it. */
+  private void submitAndRepeatWithMistakes() {
+    String uid = submit("blue", Urgency.NORMAL, 1, 1, 6);
+    ObjectNode body = Cbor.readMap(World.encode(w.spec(uid))).orElseThrow();
+    body.remove("cores");
+    byte[] lacking = Cbor.write(body);
+    for (int i = 0; i < 40; i++) {
+      int node = i % NODES;
+      w.clock.at(i * 3L, () -> w.submitAt(node, uid, lacking));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4})
   void badInputAtAllNodes(long seed) {
     world(seed, 14);
     w.oddRequests(true);
     w.closeLooks(true);
-    jobs(FROM_MS, 60, 1_000, Urgency.NORMAL, 1, 6);
+    for (int i = 0; i < 60; i++) {
+      w.clock.at(FROM_MS + i * 1_000, this::submitAndRepeatWithMistakes);
+    }
     cancellations(FROM_MS + 4_000, 10, 5_000);
     w.clock.at(40_000, () -> w.crash(Math.max(0, w.leader()), 600));
     w.clock.at(80_000, () -> w.oddRequests(false));
--- a/src/test/java/org/ploverspindle/sim/World.java
+++ b/src/test/java/org/ploverspindle/sim/World.java
@@ -549,6 +549,7 @@
         List<Order> orders,
         Consumer<Optional<Report>> then) {
       long orderedMs = clock.nowMs();
+      long heldMs = network.commandHeldMs();
       Optional<SimWorker> to =
           cloud.workers().stream().filter(w -> w.address().equals(address)).findFirst();
       if (to.isEmpty()) {
@@ -561,17 +562,7 @@
           to.get().host(),
           DIRECT_TIMEOUT_MS,
           reply ->
-              to.get()
-                  .direct(
-                      token,
-                      tenure,
-                      orders,
-                      orderedMs,
-                      r -> {
-                        lateDirects += clock.nowMs() - orderedMs > DIRECT_TIMEOUT_MS ? 1 : 0;
-                        directsToMute += network.speaks(to.get().host()) ? 0 : 1;
-                        reply.accept(Optional.of(r));
-                      }),
+              clock.at(heldMs, () -> direct(to.get(), token, tenure, orders, orderedMs, reply)),
           Optional.<Report>empty(),
           then);
       if (random.nextInt(6) == 0) {
@@ -587,6 +578,25 @@
     }
   }
 
+  private void direct(
+      SimWorker to,
+      long token,
+      long tenure,
+      List<Order> orders,
+      long orderedMs,
+      Consumer<Optional<Report>> then) {
+    to.direct(
+        token,
+        tenure,
+        orders,
+        orderedMs,
+        report -> {
+          lateDirects += !orders.isEmpty() && clock.nowMs() - orderedMs > DIRECT_TIMEOUT_MS ? 1 : 0;
+          directsToMute += orders.isEmpty() || network.speaks(to.host()) ? 0 : 1;
+          then.accept(Optional.of(report));
+        });
+  }
+
   /** Hints between controllers: each may be lost. */
   private final class PeersLine implements Peers {
     private final int i;
@@ -790,12 +800,12 @@
     return unansweredWrites;
   }
 
-  /** How many direct commands reached their machine after their sender had given up. */
+  /** How many direct launches reached their machine after their sender had given up. */
   int lateDirects() {
     return lateDirects;
   }
 
-  /** How many direct commands reached machines that reach no controller. */
+  /** How many direct launches reached machines that reach no controller. */
   int directsToMute() {
     return directsToMute;
   }
