--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -431,9 +431,9 @@
     }
   }
 
+  /** It, or a job that it needs. */
   private boolean isCancelledTooLong(JobSeen job) {
-    return job.cancelToldMs >= 0
-        && clock.nowMs() - job.cancelToldMs > settings.workers().cancelS() * 1000;
+    return isToldLongAgo(job) || needed(job).stream().anyMatch(this::isToldLongAgo);
   }
 
   /** A task begins to be on a machine, by an order that was given just now. */
@@ -534,6 +534,9 @@
     if (askedMs >= job.acceptedMs
         && (status == 404 || submission && (status == 400 || status == 422))) {
       report(Rule.FORGOTTEN, uid + " is answered " + status);
+    } else if (submission && (status == 400 || status == 422)) {
+      // Users name only jobs that they know to be accepted.
+      report(Rule.WRONG_STATUS, uid + " is answered " + status);
     }
     if (status != 200 && status != 201) {
       return;
--- a/src/test/java/org/ploverspindle/sim/RulesSweep.java
+++ b/src/test/java/org/ploverspindle/sim/RulesSweep.java
@@ -38,6 +38,11 @@
     sweep(FIRST, SEEDS, seed -> RulesTest.playPairs(seed, 9));
   }
 
+  @Test
+  void manySeedsOfPipelines() {
+    sweep(FIRST, SEEDS, seed -> PipelineTroublesTest.play(seed).w);
+  }
+
   /** Each trouble with each, by its number: first, then second, with the seed given. */
   @Test
   void everyMeeting() {
--- a/src/test/java/org/ploverspindle/sim/RulesTest.java
+++ b/src/test/java/org/ploverspindle/sim/RulesTest.java
@@ -181,7 +181,7 @@
     return finish(w);
   }
 
-  private static void playPair(World w, Random r, Troubles first, Troubles second, int atMs) {
+  static void playPair(World w, Random r, Troubles first, Troubles second, int atMs) {
     int forMs = 1_000 + r.nextInt(30_000);
     int secondForMs = 1_000 + r.nextInt(30_000);
     w.clock.at(atMs, () -> first.begin(w, r, forMs));
--- a/src/test/java/org/ploverspindle/sim/SimState.java
+++ b/src/test/java/org/ploverspindle/sim/SimState.java
@@ -129,18 +129,20 @@
 
   /**
    * A transaction beyond the limits would be refused for ever: a defect, not a fault to live with,
-   * unless the limits fell in this run. Then it is refused, as the service does.
+   * unless the limits fell in this run. Then it is refused, as the service does. Limits that are
+   * announced count from the start on, as nobody is told of the moment.
    */
   private boolean withinLimits(Txn txn) {
+    Settings.StateLimits lowest = limits.lowest();
     int bytes = HttpStateStore.encode(txn).toString().length();
     boolean valuesFit =
         txn.changes().stream()
             .allMatch(
                 c ->
                     !(c instanceof Change.Put put)
-                        || put.value().toString().length() <= limits.valueBytes());
-    if (txn.changes().size() > limits.txnOps()
-        || txn.conditions().size() > 4 * limits.txnOps()
+                        || put.value().toString().length() <= lowest.valueBytes());
+    if (txn.changes().size() > lowest.txnOps()
+        || txn.conditions().size() > 4 * lowest.txnOps()
         || bytes > 64 * 1024
         || !valuesFit) {
       if (!limitsFell) {
