A repeat that comes after the write was sent is not answered by that write

Cause: a repeated submission joined the one under way and was told "queued" once its write was answered, though another node had said "aborted" between the write and the repeat. Who comes after the write was sent is now answered as of a known job, by a read that is newer than the question.

--- a/src/main/java/org/ploverspindle/front/Intake.java
+++ b/src/main/java/org/ploverspindle/front/Intake.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -91,6 +92,8 @@
    * A submission on its way into the store, with all who asked for it here meanwhile.
    *
    * @param guards jobs whose cancellation would make "queued" an old answer
+   * @param late who asked after the write was sent: others may have said newer things than that it
+   *     stands
    */
   private record Creation(
       JobSpec spec,
@@ -98,9 +101,17 @@
       int bytes,
       long cameMs,
       List<String> guards,
-      List<Consumer<Answer>> askers) {
+      List<Consumer<Answer>> askers,
+      List<Consumer<Answer>> late) {
     void answer(Answer answer) {
       askers.forEach(a -> a.accept(answer));
+      late.forEach(a -> a.accept(answer));
+    }
+
+    List<Consumer<Answer>> all() {
+      List<Consumer<Answer>> all = new ArrayList<>(askers);
+      all.addAll(late);
+      return all;
     }
   }
 
@@ -121,6 +132,7 @@
   private final int chunk;
   private final Deque<Creation> creations = new ArrayDeque<>();
   private final Map<String, Creation> pending = new HashMap<>();
+  private final Set<String> sent = new HashSet<>();
   private long batches;
   private boolean creating;
   private boolean flushPlanned;
@@ -333,7 +345,7 @@
     Creation same = pending.get(uid);
     if (same != null) {
       // The user asks again while its first request is under way: one record answers both.
-      same.askers().add(request.then());
+      (sent.contains(uid) ? same.late() : same.askers()).add(request.then());
       return;
     }
     if (creations.size() >= MOST_WAITING) {
@@ -343,7 +355,13 @@
     List<Consumer<Answer>> askers = new ArrayList<>(List.of(request.then()));
     Creation creation =
         new Creation(
-            request.spec(), request.value(), request.bytes(), request.cameMs(), guards, askers);
+            request.spec(),
+            request.value(),
+            request.bytes(),
+            request.cameMs(),
+            guards,
+            askers,
+            new ArrayList<>());
     pending.put(uid, creation);
     creations.add(creation);
     planFlush(4);
@@ -557,6 +575,7 @@
         bytes += 200 + 100 * c.guards().size();
         jobs.set(c.spec().uid(), c.value());
         size += c.bytes();
+        sent.add(c.spec().uid());
         batch.add(c);
       }
       String key = Keys.batch(nonce + "-" + ++batches);
@@ -583,6 +602,7 @@
 
   private void created(List<Creation> batch, TxnResult result) {
     creating = false;
+    batch.forEach(c -> sent.remove(c.spec().uid()));
     if (result instanceof TxnResult.Conflict) {
       barrier(ok -> batch.forEach(c -> afterConflict(c, ok)));
       // What came meanwhile waits for nobody: all of the batch may be over already.
@@ -601,7 +621,10 @@
       for (Creation c : batch) {
         boolean aborted = c.spec().dependencies().stream().anyMatch(this::aborted);
         String status = aborted ? "aborted" : "queued";
-        c.answer(Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", status)));
+        Answer accepted =
+            Answer.of(201, Cbor.map().put("uid", c.spec().uid()).put("status", status));
+        c.askers().forEach(a -> a.accept(accepted));
+        c.late().forEach(a -> known(c.spec().uid(), a));
       }
       changedForLeader.run();
     } else if (result instanceof TxnResult.Refused refused) {
@@ -636,7 +659,8 @@
               c.bytes(),
               c.cameMs(),
               c.guards().isEmpty() ? List.of() : guards(c.spec()).orElse(List.of()),
-              c.askers());
+              c.all(),
+              new ArrayList<>());
       pending.put(uid, again);
       creations.addFirst(again);
       planFlush(4);
--- a/src/test/java/org/ploverspindle/front/IntakeTest.java
+++ b/src/test/java/org/ploverspindle/front/IntakeTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.cloud.Catalogue;
@@ -18,6 +19,7 @@
 import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.Replica;
 import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.TxnResult;
 import org.ploverspindle.state.TokenBucket;
 
@@ -72,14 +74,28 @@
   }
 
   private List<Integer> submit(String uid) {
+    List<Integer> statuses = new ArrayList<>();
+    submit(uid, a -> statuses.add(a.status()));
+    return statuses;
+  }
+
+  private void submit(String uid, Consumer<Answer> then) {
     ObjectNode b = Cbor.map().put("uid", uid).put("jobclass", "c").put("owner", "red");
     b.put("shape", "batch").put("urgency", "normal").put("pieces", 1).put("cores", 1.0);
     b.put("accelerators", 0.0).put("mem_gb", 1.0).put("bundle", "i").put("image_gb", 1.0);
     b.put("one_zone", false).put("apart", false).put("loaners", true).put("expected_s", 5.0);
     b.put("save_every_s", 0.0).put("save_cost_s", 0.0);
-    List<Integer> statuses = new ArrayList<>();
-    intake.submit(Cbor.write(b), a -> statuses.add(a.status()));
-    return statuses;
+    intake.submit(Cbor.write(b), then);
+  }
+
+  private List<String> words(String uid) {
+    List<String> words = new ArrayList<>();
+    submit(uid, a -> words.add(a.status() + " " + word(a)));
+    return words;
+  }
+
+  private static String word(Answer a) {
+    return Cbor.readMap(a.body()).orElseThrow().path("status").asText();
   }
 
   @Test
@@ -97,4 +113,19 @@
     store.carryOut();
     assertEquals(List.of(201), behind);
   }
+
+  /** The first request's write stands, and another node said "aborted" before the repeat comes. */
+  @Test
+  void aRepeatIsNotAnsweredByAWriteThatIsOlder() {
+    List<String> first = words("run-0");
+    store.run(10);
+    Change.Put written = (Change.Put) store.oldest().changes().get(0);
+    store.put(written.key(), written.value());
+    store.put(Keys.cancel("run-0"), Cbor.map());
+    List<String> repeat = words("run-0");
+    store.answer(new TxnResult.Committed(2));
+    store.run(1_000);
+    assertEquals(List.of("201 queued"), first);
+    assertEquals(List.of("200 aborted"), repeat);
+  }
 }
