--- a/src/test/java/org/ploverspindle/sim/Checker.java
+++ b/src/test/java/org/ploverspindle/sim/Checker.java
@@ -214,6 +214,13 @@
     jobs.putIfAbsent(spec.uid(), seen);
   }
 
+  /** A user's own submission of the job, which names only jobs known as accepted, is answered. */
+  void submissionTold(String uid, int status) {
+    if (status == 400 || status == 422) {
+      report(Rule.WRONG_STATUS, uid + " is answered " + status);
+    }
+  }
+
   /** Nobody submits a job of this id in a form that can be accepted: it is to be refused so. */
   void neverAcceptable(String uid, int status, String why) {
     neverAcceptable.put(uid, new Refusal(status, why));
@@ -431,9 +438,9 @@
     }
   }
 
+  /** It, or a job that it needs. */
   private boolean isCancelledTooLong(JobSeen job) {
-    return job.cancelToldMs >= 0
-        && clock.nowMs() - job.cancelToldMs > settings.workers().cancelS() * 1000;
+    return isToldLongAgo(job) || needed(job).stream().anyMatch(this::isToldLongAgo);
   }
 
   /** A task begins to be on a machine, by an order that was given just now. */
--- a/src/test/java/org/ploverspindle/sim/CheckerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CheckerTest.java
@@ -391,6 +391,32 @@
     only(Checker.Rule.TOO_EARLY);
   }
 
+  /** Started too early as well: what is asked here is that it also counts as running on. */
+  @Test
+  void reportsATaskThatRunsOnAfterAJobBeforeItsJobWasCancelled() {
+    pipeline();
+    checker.starts("run-3", 0, A);
+    checker.cancelAsked("run-1");
+    checker.told("run-1", 200, "aborted", false, clock.nowMs());
+    clock.runUntil(20_000);
+    checker.look();
+    assertEquals(1, checker.broken().size());
+    clock.runUntil(20_001);
+    checker.look();
+    assertEquals(
+        List.of(Checker.Rule.TOO_EARLY, Checker.Rule.RAN_CANCELLED),
+        checker.broken().stream().map(Checker.Broken::rule).toList());
+  }
+
+  @Test
+  void reportsAUsersOwnSubmissionThatIsRefusedForGood() {
+    checker.submitted(spec("run-1", 1, false, false));
+    checker.submissionTold("run-1", 503);
+    assertEquals(List.of(), checker.broken());
+    checker.submissionTold("run-1", 422);
+    only(Checker.Rule.WRONG_STATUS);
+  }
+
   @Test
   void reportsAnOrphanOfAnyDepthOnceItsTimeIsOver() {
     pipeline();
