Fleets of 4,000 machines and more: list, returns and sockets by the fleet's size

Need: no fixed limit below 4,000 machines, with half as many again as room.

Found and mended, each at the fleet where it bites: - A refused page began the list of machines anew: from a cloud that allows one call a second, a list of more than two pages was never read, and nothing is rented before it is. Pages now wait for the budget and are asked for again; the larger the list, the further apart.

Ruled out: more machines told of a new token at once (one that is told ends the former leader); late reports counted at the leader (machines that are cut off ask the controllers in step).

--- a/src/main/java/org/ploverspindle/cli/CheckCommand.java
+++ b/src/main/java/org/ploverspindle/cli/CheckCommand.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.FleetNeeds;
 import org.ploverspindle.settings.InvalidSettings;
 import org.ploverspindle.settings.Problem;
 import org.ploverspindle.settings.Settings;
@@ -15,6 +16,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** Checks settings and policy without starting anything. */
@@ -31,6 +33,12 @@
   @Option(names = "--policy", paramLabel = "FILE", description = "The policy, if any.")
   private Optional<Path> policy = Optional.empty();
 
+  @Option(
+      names = "--machines",
+      paramLabel = "N",
+      description = "The largest fleet that is planned: names what can't carry it.")
+  private Optional<Integer> machines = Optional.empty();
+
   @Override
   public Integer call() {
     List<Problem> problems = new ArrayList<>();
@@ -39,6 +47,7 @@
       Policy checked = Main.policy(policy, settings);
       Sufficiency.warnings(settings)
           .forEach(w -> spec.commandLine().getErr().println("warning: " + w));
+      machines.ifPresent(planned -> tellShortages(settings, planned));
       Settings.StateLimits state = settings.writeLimits();
       spec.commandLine().getOut().println("valid: " + settings.member() + ", " + checked);
       spec.commandLine()
@@ -51,6 +60,12 @@
               state.writeRps(),
               state.valueKb(),
               state.txnOps());
+      spec.commandLine()
+          .getOut()
+          .printf(
+              Locale.ROOT,
+              "fleet: up to %d machines, by sockets, memory and processor share%n",
+              FleetNeeds.mostMachines(settings));
       return 0;
     } catch (InvalidSettings e) {
       problems.addAll(e.problems());
@@ -58,4 +73,14 @@
     problems.forEach(spec.commandLine().getErr()::println);
     return 2;
   }
+
+  private void tellShortages(Settings settings, int planned) {
+    if (planned < 1) {
+      throw new ParameterException(
+          spec.commandLine(), "--machines must be at least 1, and is " + planned);
+    }
+    FleetNeeds.of(settings, planned)
+        .shortages(settings)
+        .forEach(w -> spec.commandLine().getErr().println("warning: " + w));
+  }
 }
--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -6,7 +6,6 @@
 import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.HttpCloud;
 import org.ploverspindle.front.UserApi;
-import org.ploverspindle.leadership.Leader;
 import org.ploverspindle.loop.EventLoop;
 import org.ploverspindle.loop.Rank;
 import org.ploverspindle.net.HttpCaller;
@@ -15,6 +14,7 @@
 import org.ploverspindle.peers.PeerServer;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
+import org.ploverspindle.settings.SocketBudget;
 import org.ploverspindle.state.HttpStateStore;
 import org.ploverspindle.workers.HttpWorkerClient;
 import org.xnio.OptionMap;
@@ -26,22 +26,10 @@
  * A controller with its threads and sockets: the decision loop, and one I/O thread for all sockets.
  */
 final class Service {
-  private static final int STATE_CONNECTIONS = 6;
-  private static final int CLOUD_CONNECTIONS = 3;
-
-  /**
-   * One connection to each other controller, one from it, and a second one from it while a lost
-   * first one is not noticed yet.
-   */
-  private static final int CONNECTIONS_PER_CONTROLLER = 3;
-
   private static final int BUFFER_BYTES = 4_096;
   private static final int POOLED_BUFFERS = 64;
   private static final int BUFFERS_PER_THREAD = 2;
 
-  /** Sockets that listen, and those that are being closed. */
-  private static final int SPARE = 10;
-
   private final EventLoop loop = new EventLoop();
   private final XnioWorker worker;
   private final Controller controller;
@@ -50,14 +38,15 @@
 
   Service(Settings settings, Policy policy, RandomGenerator random) throws IOException {
     worker = ioWorker();
+    SocketBudget sockets = SocketBudget.of(settings);
     ByteBufferPool buffers =
         new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, BUFFERS_PER_THREAD);
     peers = new PeerServer(loop, worker, settings.back(), settings.members(), this::heard);
     controller =
         new Controller(
             loop,
-            new HttpStateStore(caller(buffers, settings.state().toString(), STATE_CONNECTIONS)),
-            new HttpCloud(caller(buffers, settings.cloud().toString(), CLOUD_CONNECTIONS)),
+            new HttpStateStore(caller(buffers, settings.state().toString(), sockets.state())),
+            new HttpCloud(caller(buffers, settings.cloud().toString(), sockets.cloud())),
             new HttpWorkerClient(
                 address -> HttpCaller.once(loop, worker.getIoThread(), buffers, address)),
             peers,
@@ -70,13 +59,7 @@
             worker,
             settings.front(),
             UserApi.Limits.of(
-                settings.quota().maxConnections(),
-                STATE_CONNECTIONS
-                    + CLOUD_CONNECTIONS
-                    + Leader.MOST_DIRECT
-                    + CONNECTIONS_PER_CONTROLLER * settings.nodes()
-                    + SPARE,
-                settings.workers().reportS()),
+                settings.quota().maxConnections(), sockets.own(), settings.workers().reportS()),
             controller,
             controller::ready);
   }
--- a/src/main/java/org/ploverspindle/cloud/Boots.java
+++ b/src/main/java/org/ploverspindle/cloud/Boots.java
@@ -37,7 +37,23 @@
 
   private static final class Record {
     private final Deque<Came> came = new ArrayDeque<>();
+
+    /** The longest of them, kept: each machine that boots is compared with it, again and again. */
+    private double latest;
+
     private int overdue;
+
+    void forgetBefore(long oldestMs) {
+      if (came.removeIf(c -> c.atMs() < oldestMs)) {
+        latest = 0;
+        came.forEach(c -> latest = Math.max(latest, c.ratio()));
+      }
+    }
+
+    void add(Came fresh) {
+      came.addLast(fresh);
+      latest = Math.max(latest, fresh.ratio());
+    }
   }
 
   private final Catalogue catalogue;
@@ -51,7 +67,7 @@
   void look(Collection<Machine> machines, long nowMs) {
     for (Record r : records.values()) {
       r.overdue = 0;
-      r.came.removeIf(c -> nowMs - c.atMs() > REMEMBERED_MS);
+      r.forgetBefore(nowMs - REMEMBERED_MS);
     }
     for (Machine m : machines) {
       if (!m.up()) {
@@ -60,7 +76,7 @@
         }
       } else if (m.takeCameUp() && m.rentedSinceMs() >= 0) {
         double ratio = (m.upSinceMs() - m.rentedSinceMs()) / 1000.0 / bootS(m);
-        of(m).came.addLast(new Came(nowMs, ratio));
+        of(m).add(new Came(nowMs, ratio));
       }
     }
   }
@@ -78,14 +94,8 @@
   }
 
   private double latest(Rentals.Group g) {
-    double latest = 0;
     Record r = records.get(g);
-    if (r != null) {
-      for (Came c : r.came) {
-        latest = Math.max(latest, c.ratio());
-      }
-    }
-    return latest;
+    return r == null ? 0 : r.latest;
   }
 
   /** It has not come when nearly all do, nor when the late ones of its group lately did. */
--- a/src/main/java/org/ploverspindle/cloud/Rentals.java
+++ b/src/main/java/org/ploverspindle/cloud/Rentals.java
@@ -5,12 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.ploverspindle.leadership.Term;
@@ -32,13 +29,9 @@
 import org.ploverspindle.workers.Machine;
 import org.ploverspindle.workers.MachineRegistry;
 import org.ploverspindle.workers.Placement;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** A leader's dealings with the cloud: scans, rentals by durable claims, returns, and the list. */
 public final class Rentals {
-  private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
-
   /** Below the cloud's rate: what it counts as a second is not what we do. */
   private static final double CLOUD_SHARE = 0.75;
 
@@ -92,12 +85,10 @@
   private final Pools pools;
   private final Boots boots;
   private final Returns returns;
+  private final MachineList list;
   private final Map<String, JsonNode> writtenBounds = new HashMap<>();
-  private final Map<String, Integer> missedLists = new HashMap<>();
   private final Scope duties = new Scope();
-  private boolean listedOnce;
   private boolean inherited;
-  private boolean listing;
   private boolean typesBusy;
   private boolean typesRecorded;
 
@@ -149,6 +140,9 @@
         new Returns(
             scheduler, cloud, catalogue, fleet, policy, settings, term, pools, backoffs, boots,
             budget, host);
+    this.list =
+        new MachineList(
+            scheduler, cloud, fleet, settings, term, budget, rps * CLOUD_SHARE, host, this::listed);
   }
 
   public Cancellable start() {
@@ -160,25 +154,23 @@
       writtenBounds.put(e.key(), e.value());
       backoffs.read(e, catalogue.typeIndex(e.key().substring(Keys.BOUNDS.length())));
     }
-    long listMs = Math.max(2_500, Math.round(settings.cloudLimits().listLagS() * 500));
-    duties.add(scheduler.every(listMs, this::list));
     duties.add(scheduler.every(Math.round(policy.scanS() * 1000), this::scan));
     duties.add(scheduler.every(1_000, returns::look));
     duties.add(scheduler.every(60_000, this::refreshTypes));
     duties.add(scheduler.every(500, claims::pursue));
-    list();
+    duties.add(list.start());
     refreshTypes();
     return duties;
   }
 
   /** Was the whole list of machines read in this term? */
   public boolean listRead() {
-    return listedOnce;
+    return list.wasRead();
   }
 
   /** The next scan need not be waited for: nothing is up and work waits. */
   public void scanSoon() {
-    if (listedOnce && claims.isEmpty() && fleet.all().isEmpty()) {
+    if (list.wasRead() && claims.isEmpty() && fleet.all().isEmpty()) {
       scan();
     }
   }
@@ -186,7 +178,7 @@
   // ---- the scan
 
   private boolean rebuilt() {
-    if (!listedOnce || claims.areOpen()) {
+    if (!list.wasRead() || claims.areOpen()) {
       return false;
     }
     // Machines report in their own time: before most did, room that exists would be rented again.
@@ -290,105 +282,14 @@
     }
   }
 
-  // ---- the list
-
-  private void list() {
-    if (!listing && host.mayDecide() && budget.available() >= 2 && budget.tryTake(1)) {
-      listing = true;
-      page("", new HashSet<>(), scheduler.nowMs());
-    }
-  }
-
-  private void page(String after, Set<String> seen, long askedMs) {
-    cloud.hosts(
-        after,
-        answer -> {
-          if (answer.isEmpty()) {
-            listing = false;
-            return;
-          }
-          String last = after;
-          for (CloudApi.Host h : answer.get().hosts()) {
-            seen.add(h.id());
-            last = h.id();
-            listed(h);
-          }
-          if (answer.get().hasNext() && !answer.get().hosts().isEmpty()) {
-            String next = last;
-            budget.take(1);
-            page(next, seen, askedMs);
-          } else {
-            listing = false;
-            unlisted(seen, askedMs);
-            boolean first = !listedOnce;
-            listedOnce = true;
-            inherited |= first && !fleet.all().isEmpty();
-            if (first) {
-              scan();
-            }
-          }
-        });
-  }
-
-  private void listed(CloudApi.Host h) {
-    Optional<Machine> m = fleet.adopt(h.id(), h.type(), h.zone(), h.spot(), scheduler.nowMs());
-    m.ifPresent(
-        machine -> {
-          machine.listedAt(scheduler.nowMs());
-          if (h.status() == CloudApi.HostStatus.BOOTING && !machine.up()) {
-            // The list is older than now by its lag, so this is not before the rental.
-            machine.rentedAt(scheduler.nowMs() - Math.round(h.ageS() * 1000));
-          }
-          machine.addressListed(h.address());
-          if (h.status() == CloudApi.HostStatus.FAILED && !machine.releasing()) {
-            // It has stopped by itself; the answer to its release proves that all on it is gone.
-            machine.releasing(true);
-          }
-        });
-  }
-
-  /**
-   * The list lags and can go back, so a machine that it no longer shows is dropped only when its
-   * lease is over as well, and only after several lists in a row.
-   */
-  private void unlisted(Set<String> seen, long askedMs) {
-    long now = scheduler.nowMs();
-    for (Machine m : List.copyOf(fleet.all())) {
-      if (seen.contains(m.host())) {
-        missedLists.remove(m.host());
-        continue;
-      }
-      int missed = missedLists.merge(m.host(), 1, Integer::sum);
-      if (!m.releasing() && isGone(m, now, askedMs)) {
-        LOG.info("machine {} is silent and no longer listed: taken", m.host());
-        m.releasing(true);
-      }
-      boolean old = now - m.knownSinceMs() > settings.cloudLimits().listLagS() * 2_500 + 5_000;
-      if (missed >= 3 && old && m.empty() && now > fleet.leaseOverMs(m)) {
-        LOG.info("machine {} is neither listed nor heard of: dropped", m.host());
-        missedLists.remove(m.host());
-        fleet.drop(m);
-      }
+  private void listed(boolean first) {
+    inherited |= first && !fleet.all().isEmpty();
+    if (first) {
+      scan();
     }
   }
 
-  /**
-   * Silent, and missing from a list that can't be from before it was listed: "once listed, a
-   * machine stays listed until it is gone". The list alone proves nothing here either, but
-   * returning such a machine costs nothing, and the answer to that is the proof, many seconds
-   * before its lease ends: for a wave of spot machines that are taken without notice.
-   */
-  private boolean isGone(Machine m, long now, long askedMs) {
-    long oldestListMs = Math.round(settings.cloudLimits().listLagS() * 2_000) + 1_000;
-    long silenceMs = Math.round(settings.workers().reportS() * 1_250) + 1_500;
-    // One that an earlier leader placed tasks on was rented before this term, if it was not listed.
-    long listedMs = m.listed() ? m.listedSinceMs() : term.startMs() + oldestListMs;
-    long heardMs = m.up() ? m.lastReportMs() : Math.max(m.knownSinceMs(), term.startMs());
-    boolean recorded = m.listed() || m.lastKnownTenure() > 0 && m.knownSinceMs() <= term.startMs();
-    // Where this process stood still, the list is as old as that, and reports wait to be read.
-    long silentMs = now - Math.max(heardMs, host.listeningSinceMs());
-    return recorded && askedMs - listedMs > oldestListMs && silentMs > silenceMs;
-  }
+  // ---- the catalogue
 
   private void refreshTypes() {
     if (typesBusy || !budget.tryTake(1)) {
--- a/src/main/java/org/ploverspindle/cloud/Returns.java
+++ b/src/main/java/org/ploverspindle/cloud/Returns.java
@@ -1,5 +1,6 @@
 package org.ploverspindle.cloud;
 
+import com.google.common.collect.Lists;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,12 +24,18 @@
 final class Returns {
   private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
   private static final int MAX_PER_RELEASE = 100;
+
+  /** Of a large fleet, one machine in so many may go in one look, by several requests. */
+  private static final int PART_PER_LOOK = 20;
+
   private static final double QUIET_IDLE_S = 8;
   private static final long RETIRING_IDLE_MS = 2_000;
 
   /** For how many leases, in milliseconds of lease seconds, a machine may be deaf. */
   private static final double DEAF_LEASES = 3_000;
 
+  private static final double MS_PER_S = 1_000;
+
   private final Scheduler scheduler;
   private final CloudApi cloud;
   private final Catalogue catalogue;
@@ -41,7 +48,7 @@
   private final Boots boots;
   private final TokenBucket budget;
   private final Rentals.Host host;
-  private boolean releaseBusy;
+  private int releasesUnderWay;
 
   Returns(
       Scheduler scheduler,
@@ -72,7 +79,7 @@
 
   /** Looks which machines can go, and returns them. */
   void look() {
-    if (!host.mayDecide() || releaseBusy) {
+    if (!host.mayDecide() || releasesUnderWay > 0) {
       return;
     }
     long now = scheduler.nowMs();
@@ -82,11 +89,13 @@
     // Made once for all machines: each looks at all jobs or all machines.
     Predicate<Machine> needed = host.needed();
     Predicate<Machine> spare = host.spare();
+    Hearing hearing = new Hearing(now);
+    int most = Math.max(MAX_PER_RELEASE, fleet.all().size() / PART_PER_LOOK);
     for (Machine m : fleet.all()) {
-      if (back.size() >= MAX_PER_RELEASE) {
+      if (back.size() >= most) {
         break;
       }
-      if (mustGo(m, now)) {
+      if (mustGo(m, now, hearing)) {
         back.add(m);
       } else if (idle(m, now, needed, spare)) {
         List<AdaptiveSizing.Group> all = groups.computeIfAbsent(m.type(), pools::groups);
@@ -97,8 +106,11 @@
         }
       }
     }
-    if (!back.isEmpty() && budget.tryTake(1)) {
-      release(back);
+    for (List<Machine> batch : Lists.partition(back, MAX_PER_RELEASE)) {
+      if (!budget.tryTake(1)) {
+        return;
+      }
+      release(batch);
     }
   }
 
@@ -115,7 +127,7 @@
   }
 
   /** Machines that are of no use any more, whatever the bounds say. */
-  private boolean mustGo(Machine m, long now) {
+  private boolean mustGo(Machine m, long now, Hearing hearing) {
     if (m.releasing()) {
       return true;
     }
@@ -135,39 +147,64 @@
       }
       return false;
     }
-    if (m.empty() && isDeaf(m, now)) {
+    if (m.empty() && isDeaf(m, now, hearing)) {
       return true;
     }
-    return now > fleet.leaseOverMs(m) + 15_000 && m.empty() && mostReport(now);
+    return now > fleet.leaseOverMs(m) + 15_000 && m.empty() && hearing.mostReport();
   }
 
   /**
    * It reports and nothing we say reaches it: paid for and of no use. When many are like that, it
    * is our own line that is broken.
    */
-  private boolean isDeaf(Machine m, long now) {
-    if (m.deafSinceMs() < 0 || now - m.deafSinceMs() < settings.workers().leaseS() * DEAF_LEASES) {
-      return false;
-    }
-    long deaf = fleet.all().stream().filter(x -> x.deafSinceMs() >= 0).count();
-    return deaf * 2 <= fleet.all().size();
+  private boolean isDeaf(Machine m, long now, Hearing hearing) {
+    return m.deafSinceMs() >= 0
+        && now - m.deafSinceMs() >= settings.workers().leaseS() * DEAF_LEASES
+        && hearing.fewAreDeaf();
   }
 
-  /** When most machines are silent, it is we who are cut off, not they who died. */
-  private boolean mostReport(long now) {
-    int up = 0;
-    int heard = 0;
-    for (Machine m : fleet.all()) {
-      if (m.up()) {
-        up++;
-        heard += now - m.lastReportMs() < settings.workers().leaseS() * 1000 ? 1 : 0;
+  /**
+   * How the fleet as a whole hears and is heard, counted once in a look and only if asked for: a
+   * zone that is cut off has thousands of machines that ask.
+   */
+  private final class Hearing {
+    private final long nowMs;
+    private boolean counted;
+    private int deaf;
+    private int up;
+    private int heard;
+
+    Hearing(long nowMs) {
+      this.nowMs = nowMs;
+    }
+
+    boolean fewAreDeaf() {
+      count();
+      return deaf * 2 <= fleet.all().size();
+    }
+
+    /** When most machines are silent, it is we who are cut off, not they who died. */
+    boolean mostReport() {
+      count();
+      return heard * 2 >= up;
+    }
+
+    private void count() {
+      if (counted) {
+        return;
+      }
+      counted = true;
+      double leaseMs = settings.workers().leaseS() * MS_PER_S;
+      for (Machine machine : fleet.all()) {
+        deaf += machine.deafSinceMs() >= 0 ? 1 : 0;
+        up += machine.up() ? 1 : 0;
+        heard += machine.up() && nowMs - machine.lastReportMs() < leaseMs ? 1 : 0;
       }
     }
-    return heard * 2 >= up;
   }
 
   private void release(List<Machine> back) {
-    releaseBusy = true;
+    releasesUnderWay++;
     List<String> ids = new ArrayList<>();
     for (Machine m : back) {
       m.releasing(true);
@@ -177,7 +214,7 @@
     cloud.release(
         ids,
         gone -> {
-          releaseBusy = false;
+          releasesUnderWay--;
           if (gone) {
             for (Machine m : back) {
               host.lost(fleet.released(m, scheduler.nowMs()));
--- a/src/main/java/org/ploverspindle/front/UserApi.java
+++ b/src/main/java/org/ploverspindle/front/UserApi.java
@@ -18,6 +18,7 @@
 import org.ploverspindle.loop.EventLoop;
 import org.ploverspindle.loop.Rank;
 import org.ploverspindle.settings.Address;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -28,6 +29,9 @@
   private static final int MAX_BODY = 64 * 1024;
   private static final String JOBS = "/submissions";
 
+  /** Connections that wait to be accepted. After a change of leader the whole fleet connects. */
+  private static final int LEAST_BACKLOG = 1_000;
+
   /** Users give up after two seconds, and workers after four. */
   private static final long ANSWER_KEEPS_MS = 1_000;
 
@@ -106,6 +110,7 @@
             .addHttpListener(at.port(), at.host())
             .setBufferSize(4096)
             .setDirectBuffers(true)
+            .setSocketOption(Options.BACKLOG, Math.max(LEAST_BACKLOG, limits.mostAccepted()))
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 5_000)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMs())
--- a/src/main/java/org/ploverspindle/leadership/DirectCommands.java
+++ b/src/main/java/org/ploverspindle/leadership/DirectCommands.java
@@ -18,24 +18,24 @@
  * commands under way goes out in the answer to the machine's next report instead.
  */
 final class DirectCommands {
-  /** Each command under way has a connection of its own, and sockets are counted. */
-  static final int MOST_UNDER_WAY = 48;
-
-  /** Stops may use this part: launches of pressing jobs have the rest to themselves. */
-  private static final int MOST_UNDER_WAY_FOR_STOPS = MOST_UNDER_WAY / 2;
-
   private final Scheduler scheduler;
   private final WorkerClient workers;
   private final DirectOrders directOrders;
   private final ReportHandler reportHandler;
+  private final int mostUnderWay;
   private int underWay;
   private boolean closed;
 
+  /**
+   * @param mostUnderWay each command under way has a connection of its own, and sockets are counted
+   */
   DirectCommands(
+      int mostUnderWay,
       Scheduler scheduler,
       WorkerClient workers,
       DirectOrders directOrders,
       ReportHandler reportHandler) {
+    this.mostUnderWay = mostUnderWay;
     this.scheduler = scheduler;
     this.workers = workers;
     this.directOrders = directOrders;
@@ -49,7 +49,7 @@
 
   /** May another launch or announcement be sent now? */
   boolean hasRoom() {
-    return underWay < MOST_UNDER_WAY;
+    return underWay < mostUnderWay;
   }
 
   /**
@@ -82,7 +82,8 @@
     Set<Machine> machines = new LinkedHashSet<>();
     cancelled.live().forEach(placement -> machines.add(placement.machine()));
     for (Machine machine : machines) {
-      if (underWay >= MOST_UNDER_WAY_FOR_STOPS) {
+      // Launches of pressing jobs have the other half to themselves.
+      if (underWay >= mostUnderWay / 2) {
         return;
       }
       directOrders.cancelledStops(machine).ifPresent(this::send);
--- a/src/main/java/org/ploverspindle/leadership/Leader.java
+++ b/src/main/java/org/ploverspindle/leadership/Leader.java
@@ -20,6 +20,7 @@
 import org.ploverspindle.placement.Estimates;
 import org.ploverspindle.placement.Placer;
 import org.ploverspindle.settings.Settings;
+import org.ploverspindle.settings.SocketBudget;
 import org.ploverspindle.state.LeaderWrites;
 import org.ploverspindle.state.ProgressRecord;
 import org.ploverspindle.state.Replica;
@@ -42,9 +43,6 @@
 public final class Leader {
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
-  /** Direct commands at a time: each has a connection of its own, and sockets are counted. */
-  public static final int MOST_DIRECT = DirectCommands.MOST_UNDER_WAY;
-
   /** Hints of new jobs may be lost: a leader looks for them by itself as well. */
   private static final long READ_MS = 200;
 
@@ -129,7 +127,13 @@
     this.rentals = newRentals(context, newDemand(context, placer));
     ReportHandler reportHandler = newReportHandler();
     DirectOrders directOrders = new DirectOrders(fleet, this::mayDecide);
-    this.commands = new DirectCommands(scheduler, context.workers(), directOrders, reportHandler);
+    this.commands =
+        new DirectCommands(
+            SocketBudget.of(context.settings()).directCommands(),
+            scheduler,
+            context.workers(),
+            directOrders,
+            reportHandler);
     this.heldReplies = newHeldReplies(context.settings(), reportHandler);
     this.reports = newReportIntake(reportHandler);
     this.intake = newJobIntake(context.pipelines());
--- a/src/main/java/org/ploverspindle/leadership/Reachability.java
+++ b/src/main/java/org/ploverspindle/leadership/Reachability.java
@@ -22,6 +22,15 @@
   /** A look that comes so late after the one before: meanwhile it was we who did not listen. */
   private static final long PAUSE_MS = 1_200;
 
+  /** Reports that were held up on the way come within this time. */
+  private static final long LATEST_REPORT_MS = 60_000;
+
+  /** Late reports of machines that are gone, for each of them, while strays are remembered. */
+  private static final double LATE_SHARE = 0.25;
+
+  /** How many machines had been removed in the term by then. */
+  private record Removals(long atMs, long total) {}
+
   /** Reports that came to another controller in a second. */
   private record Strays(long atMs, int reports) {}
 
@@ -33,6 +42,7 @@
   private final long hushMs;
   private final long unheardMs;
   private final Deque<Strays> strays = new ArrayDeque<>();
+  private final Deque<Removals> removals = new ArrayDeque<>();
   private long lastHeardMs;
   private long lastLookMs;
   private long listeningSinceMs;
@@ -89,6 +99,10 @@
     }
     lastLookMs = nowMs;
     strays.removeIf(s -> nowMs - s.atMs() > withinMs);
+    removals.addLast(new Removals(nowMs, fleet.removed()));
+    while (nowMs - removals.getFirst().atMs() > LATEST_REPORT_MS) {
+      removals.removeFirst();
+    }
     if (alone || nowMs - listeningSinceMs < withinMs) {
       return Optional.empty();
     }
@@ -124,12 +138,18 @@
     return up >= MANY_MACHINES && reports * 5 > up * 3 || old >= MANY_MACHINES && hear * 5 < old;
   }
 
+  /**
+   * Reports that show a machine looking for another leader. Others can't tell these from reports
+   * that were held up on the way, also of machines that are gone by now: after a zone of a thousand
+   * machines had been cut off and returned, a fleet of 70 was given up for their late reports.
+   */
   private int strayed() {
     int reports = 0;
     for (Strays s : strays) {
       reports += s.reports();
     }
-    return reports;
+    long removed = fleet.removed() - removals.getFirst().total();
+    return Math.max(0, reports - (int) (removed * LATE_SHARE));
   }
 
   /**
--- a/src/main/java/org/ploverspindle/net/HttpCaller.java
+++ b/src/main/java/org/ploverspindle/net/HttpCaller.java
@@ -260,7 +260,7 @@
           }
           received.write(chunk.array(), 0, n);
           if (received.size() > MAX_BODY_BYTES) {
-            fail("the answer is too large");
+            end(new Reply.TooLarge(MAX_BODY_BYTES));
             return;
           }
         }
@@ -298,7 +298,12 @@
         return;
       }
       queue.remove(this);
-      finish(sent ? new Reply.Silence(reason) : new Reply.NotSent(reason));
+      end(sent ? new Reply.Silence(reason) : new Reply.NotSent(reason));
+    }
+
+    /** Ends a call whose connection is of no use any more. */
+    private void end(Reply reply) {
+      finish(reply);
       if (connection != null) {
         IoUtils.safeClose(connection);
       }
--- a/src/main/java/org/ploverspindle/net/Reply.java
+++ b/src/main/java/org/ploverspindle/net/Reply.java
@@ -8,6 +8,9 @@
   /** No response: the request may have been executed, or may yet be executed later. */
   record Silence(String reason) implements Reply {}
 
+  /** The target answered with more than is read: asking again in the same way is no use. */
+  record TooLarge(int maxBytes) implements Reply {}
+
   /** The request never left this process. */
   record NotSent(String reason) implements Reply {}
 }
--- /dev/null
+++ b/src/main/java/org/ploverspindle/settings/FleetNeeds.java
@@ -0,0 +1,88 @@
+package org.ploverspindle.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * What a controller needs to lead a fleet of a given size, beside what its settings give it.
+ *
+ * <p>Sockets are counted: each machine keeps a connection to the leader, and some have a second one
+ * for a while after a cut. Memory and processor time are rules of thumb, from measurements that
+ * docs/operations.md names.
+ *
+ * @param sockets connections in all, those that the controller opens included
+ * @param ramMb memory of the process
+ * @param cores mean share of a core while it leads
+ * @param reportsPerS reports that come when nothing changes
+ */
+public record FleetNeeds(
+    int machines, int sockets, double ramMb, double cores, double reportsPerS) {
+  /** Half-open connections of machines that were cut off, one for so many machines. */
+  private static final int MACHINES_PER_HALF_OPEN = 8;
+
+  /** Users, health checks and the load balancer. */
+  private static final int USER_SOCKETS = 32;
+
+  /** Above any fleet that is looked for. */
+  private static final int LARGEST_FLEET = 10_000_000;
+
+  private static final double BASE_RAM_MB = 50;
+  private static final double RAM_MB_PER_MACHINE = 0.021;
+  private static final double BASE_CORES = 0.01;
+  private static final double CORES_PER_REPORT_PER_S = 0.0003;
+
+  /** What a fleet of this size needs under these settings. */
+  public static FleetNeeds of(Settings settings, int machines) {
+    double reportsPerS = machines / settings.workers().reportS();
+    return new FleetNeeds(
+        machines,
+        SocketBudget.neededFor(
+            settings, machines + machines / MACHINES_PER_HALF_OPEN + USER_SOCKETS),
+        BASE_RAM_MB + RAM_MB_PER_MACHINE * machines,
+        BASE_CORES + CORES_PER_REPORT_PER_S * reportsPerS,
+        reportsPerS);
+  }
+
+  /** The largest fleet that the settings' sockets, memory and processor share carry. */
+  public static int mostMachines(Settings settings) {
+    int low = 0;
+    int high = LARGEST_FLEET;
+    while (low < high) {
+      int middle = low + (high - low + 1) / 2;
+      if (of(settings, middle).shortages(settings).isEmpty()) {
+        low = middle;
+      } else {
+        high = middle - 1;
+      }
+    }
+    return low;
+  }
+
+  /** Settings that can't carry the fleet, each with the figure that would. */
+  public List<Sufficiency.Warning> shortages(Settings settings) {
+    Settings.Quota quota = settings.quota();
+    List<Sufficiency.Warning> shortages = new ArrayList<>();
+    if (quota.maxConnections() < sockets) {
+      shortages.add(shortage("max_connections", "%d sockets", quota.maxConnections(), sockets));
+    }
+    if (quota.ramMb() < ramMb) {
+      shortages.add(shortage("ram_mb", "%.0f MB", quota.ramMb(), Math.ceil(ramMb)));
+    }
+    if (quota.cores() < cores) {
+      shortages.add(shortage("cores", "%.3f of a core", quota.cores(), cores));
+    }
+    return shortages;
+  }
+
+  private Sufficiency.Warning shortage(String field, String amount, Object given, Object needed) {
+    return new Sufficiency.Warning(
+        "params.quota." + field,
+        String.format(
+            Locale.ROOT,
+            amount + " can't carry a fleet of %d machines, which needs " + amount,
+            given,
+            machines,
+            needed));
+  }
+}
--- a/src/main/java/org/ploverspindle/state/HttpStateStore.java
+++ b/src/main/java/org/ploverspindle/state/HttpStateStore.java
@@ -131,7 +131,10 @@
   }
 
   private static News news(Reply reply) {
-    if (reply instanceof Reply.Answer a && a.status() == 410) {
+    // Changes have no size limit, pages have: after a long gap in a busy store the changes alone
+    // may be more than is read, and would be so again each time.
+    boolean overflow = reply instanceof Reply.TooLarge;
+    if (overflow || reply instanceof Reply.Answer a && a.status() == 410) {
       return new News.TooOld();
     }
     Optional<ObjectNode> body = ok(reply);
--- a/src/main/java/org/ploverspindle/workers/MachineRegistry.java
+++ b/src/main/java/org/ploverspindle/workers/MachineRegistry.java
@@ -34,6 +34,7 @@
   private final Set<String> released = new HashSet<>();
   private final Map<String, Seen> dropped = new HashMap<>();
   private long fences;
+  private long removed;
 
   /** The newest report that was known of a machine which is no longer kept. */
   private record Seen(long tenure, long tally) {}
@@ -53,6 +54,11 @@
     return machines.values();
   }
 
+  /** How many machines were returned or dropped in the term. */
+  public long removed() {
+    return removed;
+  }
+
   /** True for machines whose return the cloud confirmed: a report or list that names one is old. */
   public boolean wasReleased(String host) {
     return released.contains(host);
@@ -122,17 +128,23 @@
   /** The cloud confirmed the return: the machine and all tasks on it are gone. */
   public List<Placement> released(Machine m, long nowMs) {
     List<Placement> lost = allGone(m, nowMs);
-    machines.remove(m.host());
+    remove(m);
     released.add(m.host());
     return lost;
   }
 
   /** The machine is not listed any more and its lease is over. */
   public void drop(Machine m) {
-    machines.remove(m.host());
+    remove(m);
     dropped.put(m.host(), new Seen(m.tenure(), m.tally()));
   }
 
+  private void remove(Machine machine) {
+    if (machines.remove(machine.host()) != null) {
+      removed++;
+    }
+  }
+
   /**
    * True for a delayed copy of a report that was made before the machine was dropped: it must not
    * bring the machine back as usable.
--- a/src/test/java/org/ploverspindle/leadership/ReachabilityTest.java
+++ b/src/test/java/org/ploverspindle/leadership/ReachabilityTest.java
@@ -194,4 +194,29 @@
     fleet.all().forEach(m -> m.listedAt(0));
     assertTrue(troubled(39_000, 78_000, false, 7));
   }
+
+  @Test
+  void lateReportsOfMachinesThatAreGoneAreNoSignOfLostAnswers() {
+    troubled(0, 30_000, true, 7);
+    for (int i = 0; i < 10 * MACHINES; i++) {
+      Machine gone = fleet.adopt("gone-" + i, "t", "a", true, 30_000).orElseThrow();
+      fleet.released(gone, 30_000);
+    }
+    assertFalse(troubledByStrays(30_000, 60_000), "they are of machines that are gone");
+    assertTrue(troubledByStrays(120_000, 150_000), "no late ones come any more");
+  }
+
+  private boolean troubledByStrays(long fromMs, long toMs) {
+    boolean trouble = false;
+    for (long nowMs = fromMs; nowMs < toMs; nowMs += 30) {
+      reports((int) (nowMs / 30 % MACHINES), 7, nowMs);
+      if (nowMs % 120 == 0) {
+        reach.strayed(nowMs, 2);
+      }
+      if (nowMs % 390 == 0) {
+        trouble |= reach.trouble(nowMs).isPresent();
+      }
+    }
+    return trouble;
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/FleetLimitsTest.java
@@ -0,0 +1,59 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+
+/** Limits that a small fleet never meets, each at a fleet that would meet it. */
+class FleetLimitsTest {
+  private static final int NODES = 3;
+  private static final int PER_CLAIM = 50;
+  private static final double LEASE_S = 26.5;
+
+  private static SimulatedCluster cluster(long seed, int machines, double cloudCallsPerS) {
+    return new SimulatedCluster(
+        seed,
+        new SimulatedCluster.Site(
+            NODES,
+            2 * machines,
+            List.of("a"),
+            new Settings.WorkerLimits(5, LEASE_S, 51.5),
+            new Settings.StateLimits(300, 120, 16, 24),
+            new Settings.CloudLimits(cloudCallsPerS, 3),
+            List.of(new Settings.Team("blue", 8, 0, 0, 0)),
+            new Policy(3, 30, 600, 0, Policy.UNBOUNDED, 30, Map.of())));
+  }
+
+  /** Machines that no controller has rented: only reports and the list tell of them. */
+  private static void rentedBefore(SimulatedCluster cluster, int machines) {
+    for (int i = 0; i < machines / PER_CLAIM; i++) {
+      cluster.cloud.rent("earlier-" + i, "small", "a", false, PER_CLAIM);
+    }
+  }
+
+  /**
+   * Nothing is rented before the whole list was read. Of nine pages the third was refused, as the
+   * cloud allows two calls at once, and the list was begun anew with the first page for ever.
+   */
+  @Test
+  void aListOfManyPagesIsReadFromACloudThatAllowsOneCallASecond() {
+    SimulatedCluster cluster = cluster(5, 4_400, 1);
+    rentedBefore(cluster, 4_400);
+    // It fits on no machine that there is.
+    var job = EndOfDayTest.job(cluster, "wide", Urgency.HIGH, 2, 12, 5, 0);
+    cluster.clock.at(3_000, () -> cluster.user(job));
+    // Each controller asks for the machine types at its start.
+    cluster.clock.runUntil(10_000);
+    long atStart = cluster.cloud.requests.refused();
+    cluster.clock.runUntil(120_000);
+    assertEquals(List.of(), cluster.checker.broken());
+    assertTrue(cluster.checker.isDone(job.uid()), "a machine was rented for it");
+    assertEquals(atStart, cluster.cloud.requests.refused(), "calls beyond the cloud's rate");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/LargeFleetDayTest.java
@@ -0,0 +1,126 @@
+package org.ploverspindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ploverspindle.jobs.Urgency;
+import org.ploverspindle.policy.Policy;
+import org.ploverspindle.settings.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Fleets of thousands of machines, under the limits of a deployment a quarter as large: a start
+ * from nothing, a steady load, a change of leader, and a zone of workers that is cut off for longer
+ * than their lease. What it measures is logged; docs/operations.md has the figures.
+ */
+class LargeFleetDayTest {
+  private static final Logger LOG = LoggerFactory.getLogger(LargeFleetDayTest.class);
+
+  private static final int NODES = 5;
+  private static final List<String> ZONES = List.of("a", "b", "c", "d");
+  private static final String CUT_ZONE = "b";
+  private static final double LEASE_S = 26.5;
+  private static final long UP_BY_MS = 60_000;
+  private static final long LEADER_ENDS_MS = 64_000;
+  private static final long LED_AGAIN_BY_MS = 80_000;
+  private static final long CUT_MS = 85_000;
+  private static final long CUT_FOR_MS = 40_000;
+  private static final long LOAD_ENDS_MS = 90_000;
+  private static final long DAY_ENDS_MS = 230_000;
+  private static final double NANOS_PER_MS = 1e6;
+
+  private static SimulatedCluster.Site site(int machines) {
+    return new SimulatedCluster.Site(
+        NODES,
+        machines,
+        ZONES,
+        new Settings.WorkerLimits(5, LEASE_S, 51.5),
+        new Settings.StateLimits(300, 120, 16, 24),
+        new Settings.CloudLimits(10, 3),
+        List.of(new Settings.Team("red", 8, 24, 0, 0), new Settings.Team("blue", 8, 0, 0, 0)),
+        new Policy(3, 30, 60, 0, Policy.UNBOUNDED, 30, Map.of()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"4000, 21", "6000, 22"})
+  void aFleetOfThousandsServesThroughAChangeOfLeaderAndTheLossOfAZone(int machines, long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, site(machines));
+    load(cluster, machines, seed);
+    List<SimWorker> cutOff = new ArrayList<>();
+    cluster.clock.at(LEADER_ENDS_MS, () -> cluster.crash(cluster.leader(), 3_000));
+    cluster.clock.at(
+        CUT_MS,
+        () -> {
+          cluster.cloud.workers().stream()
+              .filter(worker -> worker.zone().equals(CUT_ZONE))
+              .forEach(cutOff::add);
+          cut(cluster, cutOff, true);
+        });
+    cluster.clock.at(CUT_MS + CUT_FOR_MS, () -> cut(cluster, cutOff, false));
+    cluster.clock.at(CUT_MS + CUT_FOR_MS + 5_000, cluster::troublesAreOver);
+    cluster.clock.runUntil(UP_BY_MS);
+    int up = cluster.cloud.workers().size();
+    assertTrue(up >= machines * 9 / 10, up + " machines are up");
+    cluster.clock.runUntil(LED_AGAIN_BY_MS);
+    int startsBefore = cluster.checker.starts();
+    cluster.clock.runUntil(CUT_MS);
+    assertTrue(cluster.checker.starts() > startsBefore, "the next leader starts tasks");
+    cluster.clock.runUntil(DAY_ENDS_MS);
+    cluster.checker.endOfDay();
+    log(machines, cluster);
+    assertEquals(List.of(), cluster.checker.broken());
+    assertEquals(0, cluster.checker.neverBegun());
+    assertTrue(cutOff.size() > machines / 8, cutOff.size() + " machines were cut off");
+    assertEquals(2, cluster.terms(), "leaders change once, for the one that ended");
+    assertEquals(0, cluster.cloud.requests.refused(), "cloud calls stay below their rate");
+    assertEquals(0, cluster.state.changes.refused(), "changes stay below their rate");
+  }
+
+  /** Jobs that keep most of the machines busy. */
+  private static void load(SimulatedCluster cluster, int machines, long seed) {
+    Random random = new Random(seed);
+    int jobs = machines / 8;
+    for (int i = 0; i < jobs; i++) {
+      boolean early = i < jobs * 3 / 4;
+      long atMs = 3_000 + random.nextInt(early ? 20_000 : (int) LOAD_ENDS_MS);
+      Urgency urgency = random.nextInt(3) == 0 ? Urgency.HIGH : Urgency.NORMAL;
+      int tasks = 10 + random.nextInt(30);
+      int cores = 4 + random.nextInt(9);
+      int seconds = 20 + random.nextInt(40);
+      cluster.clock.at(
+          atMs,
+          () -> cluster.user(EndOfDayTest.job(cluster, "c", urgency, tasks, cores, seconds, 200)));
+    }
+  }
+
+  private static void cut(SimulatedCluster cluster, List<SimWorker> workers, boolean now) {
+    for (SimWorker worker : workers) {
+      IntStream.range(0, NODES).forEach(i -> cluster.network.cut("n" + i, worker.host(), now));
+    }
+  }
+
+  private static void log(int machines, SimulatedCluster cluster) {
+    Histogram reports = cluster.reportNanos();
+    LOG.info(
+        "{} machines: {} starts, {} jobs done, {} reports; a report takes {} ms (median), {} ms"
+            + " (99 %); changes a second at most {}, state requests {}, cloud calls {}",
+        machines,
+        cluster.checker.starts(),
+        cluster.checker.jobsDone(),
+        reports.getTotalCount(),
+        reports.getValueAtPercentile(50) / NANOS_PER_MS,
+        reports.getValueAtPercentile(99) / NANOS_PER_MS,
+        cluster.state.changes.mostInASecond(),
+        cluster.state.requests.asked(),
+        cluster.cloud.requests.asked());
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/SimReportDelivery.java
+++ b/src/test/java/org/ploverspindle/sim/SimReportDelivery.java
@@ -9,7 +9,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 import org.ploverspindle.front.Answer;
+import org.ploverspindle.node.Controller;
 import org.ploverspindle.workers.Order;
 import org.ploverspindle.workers.Report;
 
@@ -33,6 +36,7 @@
   private final Random random;
   private final Deque<byte[]> keptReports = new ArrayDeque<>();
   private final Map<String, Set<Long>> lostLaunches = new HashMap<>();
+  private final Histogram reportNanos = new Histogram(2);
   private int copiesDelivered;
   private int copiesToLeader;
 
@@ -99,20 +103,30 @@
     process.schedule(
         0,
         () ->
-            cluster
-                .controller(to)
-                .checkin(
-                    body,
-                    answer -> {
-                      long orderedMs = cluster.clock.nowMs();
-                      countLost(from.host(), answer);
-                      if (!process.dead()) {
-                        cluster.network.answer(
-                            SimLink.nodeName(to),
-                            from.host(),
-                            () -> answered(from, serial, answer, orderedMs));
-                      }
-                    }));
+            timed(
+                cluster.controller(to),
+                body,
+                answer -> {
+                  long orderedMs = cluster.clock.nowMs();
+                  countLost(from.host(), answer);
+                  if (!process.dead()) {
+                    cluster.network.answer(
+                        SimLink.nodeName(to),
+                        from.host(),
+                        () -> answered(from, serial, answer, orderedMs));
+                  }
+                }));
+  }
+
+  private void timed(Controller controller, byte[] body, Consumer<Answer> then) {
+    long beganNanos = System.nanoTime();
+    controller.checkin(body, then);
+    reportNanos.recordValue(System.nanoTime() - beganNanos);
+  }
+
+  /** How long controllers took for reports on this machine: a measurement, of no effect. */
+  Histogram reportNanos() {
+    return reportNanos;
   }
 
   /** Of some reports a copy comes again; to whom it was on its way, and to all others. */
--- a/src/test/java/org/ploverspindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/ploverspindle/sim/SimulatedCluster.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.front.Answer;
 import org.ploverspindle.jobs.JobSpec;
@@ -397,6 +398,11 @@
     return directCommands.toMute();
   }
 
+  /** How long controllers took for reports, on this machine. */
+  Histogram reportNanos() {
+    return reports.reportNanos();
+  }
+
   /** How many reports came again, to every controller. */
   int copiesDelivered() {
     return reports.copiesDelivered();
