Duties: a lease with an epoch for work that one controller may do; the election uses it

Need: each duty that only one controller may do is to be held under a lease, and nothing that a former holder does may take effect.

DutyLease takes, renews and gives up a duty; StateLease counts validity from the sending of the last answered renewal; LeadRecords keeps the stored bytes of the lead as they were (fixtures untouched). status has a second line on the lead with HdrHistogram's figures of renewals and of having no leader.

Found by these tests, in the election as well, and mended: a lease that was opened while an earlier try was carried out took the place of the record's; a duty given up between its taking and the read after it began all the same; a record under a lease that was given up counted as the process's own. Receivers would have refused what such a holder sent.

--- /dev/null
+++ b/src/main/java/org/ploverspindle/duties/DutyLease.java
@@ -0,0 +1,273 @@
+package org.ploverspindle.duties;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.HdrHistogram.Histogram;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Condition;
+import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.StateStore.TxnResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes one duty and keeps it: a record attached to a lease of the state service says who holds it.
+ * The transaction that writes the record also raises the epoch, so epochs grow with holders and
+ * none is used twice. A holder keeps its duty until its lease ends or it gives the duty up.
+ */
+public final class DutyLease {
+  private static final Logger LOG = LoggerFactory.getLogger(DutyLease.class);
+
+  /** After the record is gone, controllers try one after the other and not all at once. */
+  private static final int FIRST_TRY_SPREAD_MS = 150;
+
+  private static final int NEXT_TRY_LEAST_MS = 50;
+  private static final int NEXT_TRY_SPREAD_MS = 400;
+  private static final long LONGEST_VACANCY_MS = 3_600_000;
+
+  /** What the process is told; always on the loop. */
+  public interface Listener {
+    /** The duty is held; the replica has all that earlier holders wrote. */
+    void taken(HeldDuty duty);
+
+    /** The duty is over: nothing may be done under it any more. */
+    void lost(HeldDuty duty, String cause);
+
+    /** May this process try to take the duty now? Asked before each try. */
+    boolean mayTry();
+  }
+
+  private final Scheduler scheduler;
+  private final StateStore store;
+  private final Replica replica;
+  private final RandomGenerator random;
+  private final StateLease lease;
+  private final DutyRecords records;
+  private final String member;
+  private final String nonce;
+  private final Listener listener;
+  private final Histogram vacantMs = new Histogram(LONGEST_VACANCY_MS, 2);
+  private Optional<HeldDuty> held = Optional.empty();
+  private Optional<Long> vacantSinceMs = Optional.empty();
+  private Optional<String> unreadable = Optional.empty();
+  private boolean acquiring;
+  private long earliestTryMs;
+
+  /** A duty that is not tried for before the first {@link #tick}. */
+  public DutyLease(
+      Scheduler scheduler,
+      StateStore store,
+      Replica replica,
+      RandomGenerator random,
+      LeaseTiming timing,
+      DutyRecords records,
+      String member,
+      Listener listener) {
+    this.scheduler = scheduler;
+    this.store = store;
+    this.replica = replica;
+    this.random = random;
+    this.lease = new StateLease(scheduler, store, timing);
+    this.records = records;
+    this.member = member;
+    this.nonce = Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
+    this.listener = listener;
+    replica.listen(this::changed);
+  }
+
+  /** The duty, if this process holds it as far as it knows. */
+  public Optional<HeldDuty> held() {
+    return held;
+  }
+
+  /**
+   * Does this process certainly hold the duty, if its clock is right? To be asked last before each
+   * send; the receiver's check is the proof.
+   */
+  public boolean surelyHeld() {
+    return held.isPresent() && lease.surelyLives();
+  }
+
+  /** When the lease was last known to live, on the steady clock. */
+  public long lastRenewalMs() {
+    return lease.sentMs();
+  }
+
+  /** The holder by the replica, whoever it is. */
+  public Optional<Holder> holder() {
+    return replica.get(records.holderKey()).map(Entry::value).flatMap(records::decode);
+  }
+
+  /** How long answers to renewals took. */
+  public Histogram renewalMs() {
+    return lease.renewalMs();
+  }
+
+  /** For how long the duty had no holder, each time, as this process saw it. */
+  public Histogram vacantMs() {
+    return vacantMs;
+  }
+
+  /** Renews the lease or tries to take the duty. To be called many times within a lease. */
+  public void tick() {
+    if (!replica.loaded()) {
+      return;
+    }
+    if (held.isPresent()) {
+      lease.renewIfDue(() -> end("the state lease ended"));
+    } else if (isVacant()) {
+      tryToTake();
+    }
+  }
+
+  private boolean isVacant() {
+    return replica.get(records.holderKey()).isEmpty();
+  }
+
+  private void tryToTake() {
+    if (acquiring || scheduler.nowMs() < earliestTryMs || !listener.mayTry()) {
+      return;
+    }
+    // Only who tries needs a lease: renewals of all others would use up shared requests.
+    if (!lease.isFresh()) {
+      lease.open(this::isVacant, this::tick);
+      return;
+    }
+    Optional<Entry> epochs = replica.get(records.epochKey());
+    Optional<Long> epoch = records.nextEpoch(epochs.map(Entry::value));
+    if (epoch.isEmpty()) {
+      // Any guess could be an epoch that a former holder still acts under.
+      tellUnreadable(records.epochKey());
+      return;
+    }
+    take(epoch.get(), epochs.map(Entry::stamp).orElse(0L), lease.id().orElseThrow());
+  }
+
+  private void take(long epoch, long epochStamp, long leaseId) {
+    acquiring = true;
+    JsonNode record = records.encode(new Holder(member, nonce, epoch, leaseId));
+    store.txn(
+        new StateStore.Txn(
+            List.of(
+                new Condition(records.holderKey(), 0),
+                new Condition(records.epochKey(), epochStamp)),
+            List.of(
+                new Change.Put(records.holderKey(), record, Optional.of(leaseId)),
+                new Change.Put(records.epochKey(), records.encodeEpochs(epoch)))),
+        result -> {
+          if (result instanceof TxnResult.NoSuchHold) {
+            lease.forget();
+          }
+          // Whatever was answered, the replica tells who holds the duty: an unanswered try may
+          // have been carried out.
+          replica.barrier(
+              read -> {
+                acquiring = false;
+                earliestTryMs =
+                    scheduler.nowMs() + NEXT_TRY_LEAST_MS + random.nextInt(NEXT_TRY_SPREAD_MS);
+              });
+        });
+  }
+
+  private void changed(String key, Optional<Entry> entry) {
+    if (!key.equals(records.holderKey())) {
+      return;
+    }
+    if (entry.isEmpty()) {
+      vacantSinceMs = Optional.of(scheduler.nowMs());
+      earliestTryMs = scheduler.nowMs() + random.nextInt(FIRST_TRY_SPREAD_MS);
+      end("the record of the holder is gone");
+      return;
+    }
+    vacantSinceMs.ifPresent(this::recordVacancy);
+    vacantSinceMs = Optional.empty();
+    Optional<Holder> holder = records.decode(entry.get().value());
+    if (holder.isEmpty()) {
+      tellUnreadable(key);
+      end("the record of the holder can't be read");
+    } else if (isOurs(holder.get())) {
+      takenAt(entry.get().stamp(), holder.get());
+    } else {
+      closeIfAbandoned(holder.get());
+      end("another controller holds the duty: " + holder.get().member());
+    }
+  }
+
+  private void recordVacancy(long sinceMs) {
+    long forMs = Math.max(0, scheduler.nowMs() - sinceMs);
+    vacantMs.recordValue(Math.min(LONGEST_VACANCY_MS, forMs));
+  }
+
+  /**
+   * A try that was carried out late, under a lease that was given up or is not renewed any more, is
+   * not ours: the record goes with that lease, whatever is known of another one.
+   */
+  private boolean isOurs(Holder holder) {
+    return holder.nonce().equals(nonce) && lease.id().map(id -> id == holder.lease()).orElse(false);
+  }
+
+  /**
+   * Left by this controller's process before this one, or by a try of it that was carried out late:
+   * nobody renews it, and the others need not wait for its end.
+   */
+  private void closeIfAbandoned(Holder holder) {
+    if (holder.member().equals(member)) {
+      store.closeLease(holder.lease());
+    }
+  }
+
+  private void takenAt(long stamp, Holder ours) {
+    if (held.isPresent() && held.get().stamp() == stamp) {
+      return;
+    }
+    end("the record of the holder is a newer one");
+    HeldDuty fresh = new HeldDuty(ours.epoch(), stamp, scheduler.nowMs());
+    // One more read after our record stood: then the replica has every write of earlier holders,
+    // and later ones fail on their condition.
+    replica.barrier(read -> begin(fresh, ours.lease(), read));
+  }
+
+  /** Meanwhile another one may have taken the duty, or this process have given it up. */
+  private void begin(HeldDuty fresh, long leaseId, boolean read) {
+    boolean stands =
+        replica.get(records.holderKey()).map(e -> e.stamp() == fresh.stamp()).orElse(false);
+    boolean leased = lease.id().map(id -> id == leaseId).orElse(false);
+    if (!stands || !leased || held.isPresent()) {
+      return;
+    }
+    if (!read) {
+      replica.barrier(again -> begin(fresh, leaseId, again));
+      return;
+    }
+    held = Optional.of(fresh);
+    listener.taken(fresh);
+  }
+
+  /** Ends the duty here on a sign that it is over; the record is left to its lease. */
+  public void end(String cause) {
+    if (held.isPresent()) {
+      HeldDuty over = held.get();
+      held = Optional.empty();
+      listener.lost(over, cause);
+    }
+  }
+
+  /** Gives the duty up at once, so that others need not wait for the lease to end. */
+  public void giveUp(String cause) {
+    lease.close();
+    end(cause);
+  }
+
+  private void tellUnreadable(String key) {
+    if (!unreadable.equals(Optional.of(key))) {
+      unreadable = Optional.of(key);
+      LOG.error(
+          "the record {} can't be read: the duty {} is not taken by guess", key, records.name());
+    }
+  }
+}
--- a/src/main/java/org/ploverspindle/leadership/Election.java
+++ b/src/main/java/org/ploverspindle/leadership/Election.java
@@ -1,22 +1,19 @@
 package org.ploverspindle.leadership;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.ploverspindle.duties.DutyLease;
+import org.ploverspindle.duties.HeldDuty;
+import org.ploverspindle.duties.Holder;
+import org.ploverspindle.duties.LeaseTiming;
 import org.ploverspindle.loop.Cancellable;
 import org.ploverspindle.loop.Scheduler;
-import org.ploverspindle.net.Cbor;
 import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
 import org.ploverspindle.state.StateStore;
-import org.ploverspindle.state.StateStore.Change;
-import org.ploverspindle.state.StateStore.Condition;
 import org.ploverspindle.state.StateStore.Entry;
-import org.ploverspindle.state.StateStore.Renewal;
-import org.ploverspindle.state.StateStore.TxnResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,6 +32,7 @@
   private static final int MANY_TERMS = 3;
 
   private static final long MANY_TERMS_MS = 60_000;
+  private static final int TICKS_PER_LEASE = 20;
 
   /** What the rest of the process is told; always on the loop. */
   public interface Listener {
@@ -46,26 +44,18 @@
   }
 
   private final Scheduler scheduler;
-  private final StateStore store;
   private final Replica replica;
-  private final RandomGenerator random;
   private final Timing timing;
-  private final String member;
-  private final String nonce;
   private final Listener listener;
-
-  private Optional<Long> lease = Optional.empty();
-  private long leaseSentMs;
-  private boolean leaseBusy;
-  private boolean acquiring;
-  private long earliestTryMs;
+  private final DutyLease lead;
+  private Optional<Term> term = Optional.empty();
   private long pausedUntilMs = Long.MIN_VALUE / 2;
   private long lastResignationMs = Long.MIN_VALUE / 2;
   private int resignations;
   private long vacantSinceMs;
-  private Optional<Term> term = Optional.empty();
   private final Deque<Long> termsSeenMs = new ArrayDeque<>();
 
+  /** An election that this controller takes part in once it is started. */
   public Election(
       Scheduler scheduler,
       StateStore store,
@@ -75,42 +65,51 @@
       String member,
       Listener listener) {
     this.scheduler = scheduler;
-    this.store = store;
     this.replica = replica;
-    this.random = random;
     this.timing = timing;
-    this.member = member;
-    this.nonce = Long.toString(random.nextLong() >>> 1, 36);
     this.listener = listener;
     replica.listen(this::changed);
-  }
-
+    LeaseTiming leaseTiming = new LeaseTiming(timing.stateLeaseMs(), timing.stateLeaseSurelyMs());
+    this.lead =
+        new DutyLease(
+            scheduler,
+            store,
+            replica,
+            random,
+            leaseTiming,
+            new LeadRecords(),
+            member,
+            new LeadEvents());
+  }
+
+  /** Takes part from now on, until cancelled. */
   public Cancellable start() {
-    return scheduler.every(timing.stateLeaseMs() / 20, this::tick);
+    return scheduler.every(timing.stateLeaseMs() / TICKS_PER_LEASE, lead::tick);
   }
 
+  /** The term in which this node leads, as far as it knows. */
   public Optional<Term> term() {
     return term;
   }
 
   /** The leader by the copy, also another node. */
   public Optional<String> leaderName() {
-    return replica.text(Keys.LEADER, "member");
+    return lead.holder().map(Holder::member);
   }
 
   /** The first token of the leader by the copy, also another node's. */
   public Optional<Long> leaderToken() {
-    return replica.get(Keys.LEADER).map(e -> e.value().path("token").asLong());
+    return lead.holder().map(Holder::epoch);
   }
 
   /** May this node decide? Only while its lease certainly lives. */
   public boolean mayDecide() {
-    return term.isPresent() && scheduler.nowMs() < leaseSentMs + timing.stateLeaseSurelyMs();
+    return lead.surelyHeld();
   }
 
   /** When the leader key was last known to be ours. */
   public long lastKnownMs() {
-    return Math.min(leaseSentMs, replica.freshAsOfMs());
+    return Math.min(lead.lastRenewalMs(), replica.freshAsOfMs());
   }
 
   /** Has the lead changed again and again lately, as far as this node saw? */
@@ -119,146 +118,44 @@
     return termsSeenMs.size() >= MANY_TERMS;
   }
 
-  private void tick() {
-    if (!replica.loaded()) {
-      return;
-    }
-    if (term.isPresent()) {
-      if (lease.isPresent()
-          && !leaseBusy
-          && scheduler.nowMs() - leaseSentMs >= timing.stateLeaseMs() / 4) {
-        renew();
-      }
-    } else if (replica.get(Keys.LEADER).isEmpty()) {
-      tryToLead();
-    }
-  }
-
-  private void openLease() {
-    if (leaseBusy) {
-      return;
-    }
-    leaseBusy = true;
-    long sentMs = scheduler.nowMs();
-    store.openLease(
-        timing.stateLeaseMs(),
-        opened -> {
-          leaseBusy = false;
-          if (opened.isPresent()) {
-            lease = opened;
-            leaseSentMs = sentMs;
-            tick();
-          }
-        });
-  }
-
-  private void renew() {
-    leaseBusy = true;
-    long sentMs = scheduler.nowMs();
-    long id = lease.get();
-    store.renewLease(
-        id,
-        result -> {
-          leaseBusy = false;
-          if (result == Renewal.RENEWED) {
-            leaseSentMs = Math.max(leaseSentMs, sentMs);
-          } else if (result == Renewal.GONE) {
-            lease = Optional.empty();
-            end("the state lease ended");
-          } else {
-            // Tried again soon, but not in a storm: the service may be refusing us for its rate.
-            scheduler.schedule(100 + random.nextInt(200), () -> {});
-          }
-        });
-  }
-
-  private void tryToLead() {
-    if (acquiring || scheduler.nowMs() < earliestTryMs || pausesAfterResigning()) {
-      return;
-    }
-    // Only who tries to lead needs a lease: renewals of all others would use up shared requests.
-    if (lease.isEmpty() || scheduler.nowMs() > leaseSentMs + timing.stateLeaseSurelyMs() / 2) {
-      openLease();
-      return;
-    }
-    acquiring = true;
-    long tokenStamp = replica.get(Keys.TOKEN).map(Entry::stamp).orElse(0L);
-    long token = replica.get(Keys.TOKEN).map(e -> e.value().path("n").asLong(0)).orElse(0L) + 1;
-    JsonNode leader =
-        Cbor.map()
-            .put("member", member)
-            .put("nonce", nonce)
-            .put("token", token)
-            .put("hold", lease.get());
-    store.txn(
-        new StateStore.Txn(
-            List.of(new Condition(Keys.LEADER, 0), new Condition(Keys.TOKEN, tokenStamp)),
-            List.of(
-                new Change.Put(Keys.LEADER, leader, lease),
-                // The last token of the term: whoever reads this, the next term begins above it.
-                new Change.Put(Keys.TOKEN, Cbor.map().put("n", token + Term.SPAN - 1)))),
-        result -> {
-          if (result instanceof TxnResult.NoSuchHold) {
-            lease = Optional.empty();
-          }
-          // Whatever was said, the copy tells who leads: an unanswered try may have succeeded.
-          replica.barrier(
-              ok -> {
-                acquiring = false;
-                earliestTryMs = scheduler.nowMs() + 50 + random.nextInt(400);
-              });
-        });
-  }
-
   private void changed(String key, Optional<Entry> entry) {
     if (!key.equals(Keys.LEADER)) {
       return;
     }
     if (entry.isEmpty()) {
       vacantSinceMs = scheduler.nowMs();
-      earliestTryMs = scheduler.nowMs() + random.nextInt(150);
-      end("the leader key is gone");
-      return;
-    }
-    termsSeenMs.addLast(scheduler.nowMs());
-    JsonNode value = entry.get().value();
-    boolean ours = value.path("nonce").asText("").equals(nonce);
-    if (!ours && value.path("member").asText("").equals(member)) {
-      // Left by this controller's process before this one, or by a try of it that was executed
-      // late: nobody renews it, and the others need not wait for its end.
-      store.closeLease(value.path("hold").asLong(0));
+    } else {
+      termsSeenMs.addLast(scheduler.nowMs());
     }
-    if (ours && lease.isPresent() && value.path("hold").asLong(-1) != lease.get()) {
-      // A try that was executed late, on a lease that is not renewed any more.
-      ours = false;
+  }
+
+  /** A term begins and ends with the duty to lead. */
+  private final class LeadEvents implements DutyLease.Listener {
+    @Override
+    public void taken(HeldDuty duty) {
+      Term fresh = new Term(duty.epoch(), duty.stamp(), duty.sinceMs());
+      LOG.info("leading with token {}", fresh.token());
+      term = Optional.of(fresh);
+      listener.leading(fresh);
     }
-    if (!ours) {
-      end("another node leads: " + value.path("member").asText());
-      return;
+
+    @Override
+    public void lost(HeldDuty duty, String cause) {
+      Term over = term.orElseThrow();
+      term = Optional.empty();
+      LOG.info("no longer leading with token {}: {}", over.token(), cause);
+      listener.ended(over, cause);
     }
-    if (term.isPresent() && term.get().leaderStamp() == entry.get().stamp()) {
-      return;
+
+    @Override
+    public boolean mayTry() {
+      return !pausesAfterResigning();
     }
-    end("the leader key is a newer one");
-    Term fresh = new Term(value.path("token").asLong(), entry.get().stamp(), scheduler.nowMs());
-    // One more read after our key stood: then the copy has every write of earlier leaders, and
-    // later ones fail on their condition.
-    replica.barrier(ok -> begin(fresh, ok));
   }
 
-  private void begin(Term fresh, boolean copied) {
-    boolean stillOurs =
-        replica.get(Keys.LEADER).map(e -> e.stamp() == fresh.leaderStamp()).orElse(false);
-    if (!stillOurs || term.isPresent()) {
-      return;
-    }
-    if (!copied) {
-      replica.barrier(ok -> begin(fresh, ok));
-      return;
-    }
-    LOG.info("leading with token {}", fresh.token());
-    term = Optional.of(fresh);
-    listener.leading(fresh);
+  /** Who leads and since when, how long renewals take, and how long nobody led, for people. */
+  public String summary() {
+    return new LeadSummary(scheduler.nowMs(), lead).toString();
   }
 
   /** Another controller says that it leads: ends an older lead of ours, and is looked up. */
@@ -272,19 +169,10 @@
 
   /** Called with any sign that a newer leader exists. */
   public void deposed(String cause) {
-    end(cause);
+    lead.end(cause);
     replica.barrier(ok -> {});
   }
 
-  private void end(String cause) {
-    if (term.isPresent()) {
-      Term over = term.get();
-      term = Optional.empty();
-      LOG.info("no longer leading with token {}: {}", over.token(), cause);
-      listener.ended(over, cause);
-    }
-  }
-
   /**
    * Gives the lead up to whoever can do more with it, and does not try again for a while, longer
    * each time: a leader that no machine reaches keeps its key alive as well as any, and every lease
@@ -308,8 +196,6 @@
 
   /** Gives the lead up at once, so that others need not wait for the lease to end. */
   public void resign() {
-    lease.ifPresent(store::closeLease);
-    lease = Optional.empty();
-    end("resigned");
+    lead.giveUp("resigned");
   }
 }
--- /dev/null
+++ b/src/main/java/org/ploverspindle/leadership/LeadRecords.java
@@ -0,0 +1,68 @@
+package org.ploverspindle.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import org.ploverspindle.duties.DutyRecords;
+import org.ploverspindle.duties.Holder;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.Keys;
+
+/** The leader's records, in the form that all versions read: an epoch is a term's first token. */
+final class LeadRecords implements DutyRecords {
+  @Override
+  public String name() {
+    return "lead";
+  }
+
+  @Override
+  public String holderKey() {
+    return Keys.LEADER;
+  }
+
+  @Override
+  public String epochKey() {
+    return Keys.TOKEN;
+  }
+
+  @Override
+  public JsonNode encode(Holder holder) {
+    return Cbor.map()
+        .put("member", holder.member())
+        .put("nonce", holder.nonce())
+        .put("token", holder.epoch())
+        .put("hold", holder.lease());
+  }
+
+  @Override
+  public Optional<Holder> decode(JsonNode record) {
+    if (!record.path("member").isTextual()
+        || !record.path("nonce").isTextual()
+        || !record.path("token").canConvertToLong()
+        || !record.path("hold").canConvertToLong()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Holder(
+            record.path("member").asText(),
+            record.path("nonce").asText(),
+            record.path("token").asLong(),
+            record.path("hold").asLong()));
+  }
+
+  /** The last token of the term: whoever reads this, the next term begins above it. */
+  @Override
+  public JsonNode encodeEpochs(long taken) {
+    return Cbor.map().put("n", taken + Term.SPAN - 1);
+  }
+
+  @Override
+  public Optional<Long> nextEpoch(Optional<JsonNode> record) {
+    if (record.isEmpty()) {
+      return Optional.of(1L);
+    }
+    JsonNode last = record.get().path("n");
+    return last.canConvertToLong() && last.asLong() >= 0
+        ? Optional.of(last.asLong() + 1)
+        : Optional.empty();
+  }
+}
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -352,7 +352,9 @@
                 + election.leaderName().orElse("none")
                 + " waiting="
                 + pipelines.waiting()
-                + leader.map(s -> " token=" + s.term().token() + " " + s.summary()).orElse("")));
+                + leader.map(s -> " token=" + s.term().token() + " " + s.summary()).orElse("")
+                + "\n"
+                + election.summary()));
   }
 
   @Override
--- a/src/test/java/org/ploverspindle/ArchitectureTest.java
+++ b/src/test/java/org/ploverspindle/ArchitectureTest.java
@@ -38,6 +38,7 @@
           "policy",
           "peers",
           "state",
+          "duties",
           "jobs",
           "workers",
           "pipelines",
--- /dev/null
+++ b/src/test/java/org/ploverspindle/sim/DutyCluster.java
@@ -0,0 +1,234 @@
+package org.ploverspindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.ploverspindle.duties.DutyLease;
+import org.ploverspindle.duties.DutyRecords;
+import org.ploverspindle.duties.HeldDuty;
+import org.ploverspindle.duties.Holder;
+import org.ploverspindle.duties.LeaseTiming;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.Replica;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Condition;
+import org.ploverspindle.state.StateStore.TxnResult;
+
+/**
+ * Controllers that want one duty and write under it again and again, against the stand-in of the
+ * state service, where each write that is carried out is held against a {@link PlainDuty}.
+ */
+final class DutyCluster {
+  static final int MEMBERS = 3;
+  static final LeaseTiming TIMING = new LeaseTiming(3_000, 2_940);
+  static final String HOLDER = Keys.PREFIX + "duty/test";
+  static final String EPOCHS = Keys.PREFIX + "duty/test/epoch";
+  static final String ACTION = Keys.PREFIX + "act";
+
+  private static final long TICK_MS = 150;
+  private static final long ACT_MS = 200;
+  private static final int CHECK_TO_SEND_MS = 60;
+  private static final long LOOK_MS = 20;
+
+  final SimClock clock = new SimClock();
+  final Random random;
+  final SimNetwork network;
+  final SimState state;
+  final SimStateAccess access;
+  final PlainDuty plain = new PlainDuty();
+  private final boolean fenced;
+  private final List<Member> members = new ArrayList<>();
+  private final List<String> wrong = new ArrayList<>();
+  private int refused;
+
+  DutyCluster(long seed, boolean fenced) {
+    this.random = new Random(seed);
+    this.fenced = fenced;
+    this.network = new SimNetwork(clock, random);
+    this.state = new SimState(clock, new Settings.StateLimits(400, 200, 8, 12));
+    this.access = new SimStateAccess(clock, random, network, state, false);
+    state.whenWritten(plain::written);
+    for (int i = 0; i < MEMBERS; i++) {
+      members.add(new Member(i));
+    }
+    look();
+  }
+
+  Member member(int index) {
+    return members.get(index);
+  }
+
+  /** The member that holds the duty as far as it knows; there may be more than one. */
+  Optional<Member> holder() {
+    return members.stream().filter(m -> !m.process.dead() && m.duty.held().isPresent()).findFirst();
+  }
+
+  /** What members with a right clock believed and was not so. */
+  List<String> wrong() {
+    return wrong;
+  }
+
+  /** Writes that were refused since another one holds the duty. */
+  int refused() {
+    return refused;
+  }
+
+  /** Ends the member's process, unless it is away already, and starts another one. */
+  void crash(int index, long backAfterMs) {
+    if (members.get(index).process.dead()) {
+      return;
+    }
+    members.get(index).process.kill();
+    clock.at(backAfterMs, () -> members.set(index, new Member(index)));
+  }
+
+  /** Who is sure to hold the duty, by a clock that is right, does hold it in the plain model. */
+  private void look() {
+    Optional<Long> epoch = state.holds(HOLDER) ? plain.epoch() : Optional.empty();
+    for (Member member : members) {
+      boolean runs = !member.process.dead() && !member.process.standsStill();
+      if (runs && !member.jumped && member.duty.surelyHeld()) {
+        Optional<Long> believed = member.duty.held().map(HeldDuty::epoch);
+        if (!believed.equals(epoch)) {
+          wrong.add("at " + clock.nowMs() + " " + believed + " is sure, and " + epoch + " holds");
+        }
+      }
+    }
+    clock.at(LOOK_MS, this::look);
+  }
+
+  /** The records of the duty that is tested. */
+  static final class Records implements DutyRecords {
+    @Override
+    public String name() {
+      return "test";
+    }
+
+    @Override
+    public String holderKey() {
+      return HOLDER;
+    }
+
+    @Override
+    public String epochKey() {
+      return EPOCHS;
+    }
+
+    @Override
+    public JsonNode encode(Holder holder) {
+      return Cbor.map()
+          .put("member", holder.member())
+          .put("nonce", holder.nonce())
+          .put("epoch", holder.epoch())
+          .put("lease", holder.lease());
+    }
+
+    @Override
+    public Optional<Holder> decode(JsonNode record) {
+      return record.path("epoch").canConvertToLong()
+          ? Optional.of(
+              new Holder(
+                  record.path("member").asText(),
+                  record.path("nonce").asText(),
+                  record.path("epoch").asLong(),
+                  record.path("lease").asLong()))
+          : Optional.empty();
+    }
+
+    @Override
+    public JsonNode encodeEpochs(long taken) {
+      return Cbor.map().put("last", taken);
+    }
+
+    @Override
+    public Optional<Long> nextEpoch(Optional<JsonNode> record) {
+      if (record.isEmpty()) {
+        return Optional.of(1L);
+      }
+      return record.get().path("last").canConvertToLong()
+          ? Optional.of(record.get().path("last").asLong() + 1)
+          : Optional.empty();
+    }
+  }
+
+  /** One process of a member. */
+  final class Member implements DutyLease.Listener {
+    final SimClock.Process process;
+    final DutyLease duty;
+    final List<HeldDuty> terms = new ArrayList<>();
+    private final StateStore store;
+    private boolean jumped;
+    private boolean quiet;
+
+    Member(int index) {
+      process = clock.new Process(random.nextInt(1_000_000), 1 + random.nextInt(10) / 20_000.0, 0);
+      store = access.client(index, new SimLink(clock, network, index, process));
+      Replica replica = new Replica(process, store, Keys.PREFIX, 300);
+      duty =
+          new DutyLease(
+              process,
+              store,
+              replica,
+              new SplittableRandom(random.nextLong()),
+              TIMING,
+              new Records(),
+              SimLink.nodeName(index),
+              this);
+      process.schedule(0, replica::start);
+      process.every(TICK_MS, duty::tick);
+      process.every(ACT_MS, this::act);
+    }
+
+    /** Its steady clock jumps: its own check is worth nothing for a while. */
+    void jump(long byMs) {
+      jumped = true;
+      process.jump(byMs);
+    }
+
+    /** From now on it sends nothing. */
+    void keepQuiet() {
+      quiet = true;
+    }
+
+    /** Checks, and sends a moment later: the process may stand still in between. */
+    private void act() {
+      if (!quiet && duty.surelyHeld()) {
+        HeldDuty held = duty.held().orElseThrow();
+        process.schedule(random.nextInt(CHECK_TO_SEND_MS), () -> send(held));
+      }
+    }
+
+    private void send(HeldDuty held) {
+      List<Condition> conditions =
+          fenced ? List.of(new Condition(HOLDER, held.stamp())) : List.of();
+      store.txn(
+          new StateStore.Txn(
+              conditions, List.of(new Change.Put(ACTION, Cbor.map().put("epoch", held.epoch())))),
+          result -> {
+            if (result instanceof TxnResult.Conflict) {
+              refused++;
+              duty.end("a write was refused");
+            }
+          });
+    }
+
+    @Override
+    public void taken(HeldDuty held) {
+      terms.add(held);
+    }
+
+    @Override
+    public void lost(HeldDuty held, String cause) {}
+
+    @Override
+    public boolean mayTry() {
+      return true;
+    }
+  }
+}
--- a/src/test/java/org/ploverspindle/sim/SimClock.java
+++ b/src/test/java/org/ploverspindle/sim/SimClock.java
@@ -37,7 +37,7 @@
 
   /** One process's view: its own offset and drift, and an end after which nothing of it runs. */
   final class Process implements Scheduler {
-    private final long offsetMs;
+    private long offsetMs;
     private final double speed;
     private final long wallOffMs;
     private boolean dead;
@@ -54,6 +54,11 @@
       standsStillUntilMs = nowMs + forMs;
     }
 
+    /** Its steady clock jumps by so much, also back. */
+    void jump(long byMs) {
+      offsetMs += byMs;
+    }
+
     boolean standsStill() {
       return nowMs < standsStillUntilMs;
     }
