Users' requests: submissions, queries and cancellations in classes of their own

Behaviour is meant to be the same, word for word.

UserRequests wires SubmissionService (what can be accepted), AcceptanceWriter and CreationBatch (how it is stored), QueryService, CancellationService; FreshReads (the barrier in the user's time), JobStates, DependencyCheck and Feasibility are what they share. IntakeTest is UserRequestsTest, its set-up in two methods; no assertion changed.

--- /dev/null
+++ b/src/main/java/org/ploverspindle/front/CreationBatch.java
@@ -0,0 +1,102 @@
+package org.ploverspindle.front;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Supplier;
+import org.ploverspindle.net.Cbor;
+import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.StateStore;
+import org.ploverspindle.state.StateStore.Change;
+import org.ploverspindle.state.StateStore.Condition;
+
+/** One transaction that stores several jobs, as many as fit into each record. */
+final class CreationBatch {
+  private static final int MAX_TXN_BYTES = 56 * 1024;
+  private static final int CONDITIONS_PER_CHANGE = 4;
+
+  /** Two of the job itself, and one for the record that it will stand in. */
+  private static final int OWN_CONDITIONS = 3;
+
+  /** What the transaction, a record and a job's conditions take, beyond what is counted. */
+  private static final int FRAME_BYTES = 200;
+
+  private static final int GUARD_BYTES = 100;
+  private static final int EMPTY_MAP_BYTES = 2;
+
+  private final int valueBytes;
+  private final int mostConditions;
+  private final List<Creation> creations = new ArrayList<>();
+  private final List<Condition> conditions = new ArrayList<>();
+  private final List<Change> changes = new ArrayList<>();
+  private int bytes = FRAME_BYTES;
+
+  CreationBatch(int valueBytes, int txnOps) {
+    this.valueBytes = valueBytes;
+    this.mostConditions = conditionsOf(txnOps);
+  }
+
+  private static int conditionsOf(int txnOps) {
+    return CONDITIONS_PER_CHANGE * txnOps;
+  }
+
+  /** Conditions that one job's guards may take. */
+  static int mostGuards(int txnOps) {
+    return conditionsOf(txnOps) - OWN_CONDITIONS;
+  }
+
+  /** Takes as many of the waiting ones as fit, in records with the names that are given. */
+  void fill(Deque<Creation> waiting, int mostRecords, Supplier<String> nextKey) {
+    while (changes.size() < mostRecords
+        && nextFits(waiting)
+        && bytes < MAX_TXN_BYTES - valueBytes) {
+      addRecord(waiting, nextKey);
+    }
+  }
+
+  private void addRecord(Deque<Creation> waiting, Supplier<String> nextKey) {
+    ObjectNode jobs = Cbor.map();
+    int size = EMPTY_MAP_BYTES;
+    while (nextFits(waiting) && size + waiting.peek().bytes() <= valueBytes) {
+      Creation creation = waiting.poll();
+      addConditions(creation);
+      jobs.set(creation.uid(), creation.value());
+      size += creation.bytes();
+      creations.add(creation);
+    }
+    String key = nextKey.get();
+    conditions.add(new Condition(key, 0));
+    changes.add(new Change.Put(key, jobs));
+    bytes += size + FRAME_BYTES;
+  }
+
+  /**
+   * Another node may have accepted the job long ago, which this replica need not show yet: a job
+   * that was called done or cancelled must not be called queued for it.
+   */
+  private void addConditions(Creation creation) {
+    conditions.add(new Condition(Keys.cancel(creation.uid()), 0));
+    conditions.add(new Condition(Keys.done(creation.uid()), 0));
+    creation.guards().forEach(guard -> conditions.add(new Condition(Keys.cancel(guard), 0)));
+    bytes += FRAME_BYTES + GUARD_BYTES * creation.guards().size();
+  }
+
+  private boolean nextFits(Deque<Creation> waiting) {
+    return !waiting.isEmpty()
+        && conditions.size() + OWN_CONDITIONS + waiting.peek().guards().size() <= mostConditions;
+  }
+
+  List<Creation> creations() {
+    return creations;
+  }
+
+  /** How many changes the transaction has. */
+  int size() {
+    return changes.size();
+  }
+
+  StateStore.Txn txn() {
+    return new StateStore.Txn(conditions, changes);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/front/DependencyCheck.java
@@ -0,0 +1,75 @@
+package org.ploverspindle.front;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.ploverspindle.jobs.JobSpec;
+import org.ploverspindle.pipelines.Pipelines;
+import org.ploverspindle.state.SpecIndex;
+import org.ploverspindle.state.SpecRecord;
+
+/**
+ * May a job depend on the jobs that it names, and what can change about that while it is stored?
+ */
+final class DependencyCheck {
+  /** Beyond so many unfinished jobs before it a job is accepted after a read instead. */
+  private static final int MOST_GUARDS = 6;
+
+  private final SpecIndex specs;
+  private final Pipelines pipelines;
+  private final JobStates states;
+  private final int mostGuards;
+
+  /**
+   * @param conditions how many conditions a transaction has for one job's guards
+   */
+  DependencyCheck(SpecIndex specs, Pipelines pipelines, JobStates states, int conditions) {
+    this.specs = specs;
+    this.pipelines = pipelines;
+    this.states = states;
+    this.mostGuards = Math.min(MOST_GUARDS, conditions);
+  }
+
+  /** Why the job can't depend on what it names; to be asked after a barrier. */
+  Optional<String> wrongDependency(JobSpec spec) {
+    for (String uid : spec.dependencies()) {
+      Optional<SpecIndex.Spec> dependency = specs.get(uid);
+      if (dependency.isEmpty()) {
+        return Optional.of("awaits a job that was never accepted: " + uid);
+      }
+      if (SpecRecord.isService(dependency.get().value())) {
+        return Optional.of("awaits a service, which is never done: " + uid);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * All jobs before this one that are not done, so that it is aborted exactly if one of them is
+   * cancelled. None if the replica shows that it is aborted, which no later fact can change. Empty
+   * when the replica does not show them all, or they are too many for a transaction's conditions.
+   */
+  Optional<List<String>> guards(JobSpec spec) {
+    if (wrongDependency(spec).isPresent()) {
+      return Optional.empty();
+    }
+    Set<String> unfinished = new LinkedHashSet<>();
+    Deque<String> work = new ArrayDeque<>(spec.dependencies());
+    while (!work.isEmpty()) {
+      String uid = work.poll();
+      if (states.isAborted(uid)) {
+        return Optional.of(List.of());
+      }
+      if (!states.isDone(uid) && unfinished.add(uid)) {
+        if (unfinished.size() > mostGuards || !pipelines.graph().isKnown(uid)) {
+          return Optional.empty();
+        }
+        work.addAll(pipelines.graph().dependenciesOf(uid));
+      }
+    }
+    return Optional.of(List.copyOf(unfinished));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ploverspindle/front/FreshReads.java
@@ -0,0 +1,66 @@
+package org.ploverspindle.front;
+
+import java.util.function.Consumer;
+import org.ploverspindle.loop.Scheduler;
+import org.ploverspindle.state.Replica;
+
+/** Waits until the replica is as new as a user's question, for as long as the user waits. */
+final class FreshReads {
+  private static final long BARRIER_LIMIT_MS = 1_400;
+
+  /** The replica is read more often than that: who waits for the next read would wait in vain. */
+  private static final long STALE_MS = 4_000;
+
+  private final Scheduler scheduler;
+  private final Replica replica;
+
+  FreshReads(Scheduler scheduler, Replica replica) {
+    this.scheduler = scheduler;
+    this.replica = replica;
+  }
+
+  /** Calls with true at the barrier, or with false when it can't be had in the user's time. */
+  void barrier(Consumer<Boolean> then) {
+    barrier(replica::barrier, then);
+  }
+
+  /** The same for who has time. */
+  void patientBarrier(Consumer<Boolean> then) {
+    barrier(replica::patientBarrier, then);
+  }
+
+  private void barrier(Consumer<Consumer<Boolean>> read, Consumer<Boolean> then) {
+    long cameMs = scheduler.nowMs();
+    boolean[] answered = {false};
+    Consumer<Boolean> once =
+        fresh -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            // Where this process stood still in between, others may have said newer things.
+            then.accept(fresh && scheduler.nowMs() - cameMs <= BARRIER_LIMIT_MS);
+          }
+        };
+    if (isStale()) {
+      // It is tried all the same, for those who come later; this one is told at once.
+      refresh();
+      once.accept(false);
+      return;
+    }
+    read.accept(once);
+    scheduler.schedule(BARRIER_LIMIT_MS, () -> once.accept(false));
+  }
+
+  /** Has the replica not been read for so long that the next read will hardly come in time? */
+  boolean isStale() {
+    return scheduler.nowMs() - replica.freshAsOfMs() > STALE_MS;
+  }
+
+  boolean isLoaded() {
+    return replica.loaded();
+  }
+
+  /** Has the replica read, for those who come later. */
+  void refresh() {
+    replica.barrier(fresh -> {});
+  }
+}
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -7,9 +7,9 @@
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.CloudApi;
 import org.ploverspindle.front.Answer;
-import org.ploverspindle.front.Intake;
 import org.ploverspindle.front.LeaderHints;
 import org.ploverspindle.front.UserApi;
+import org.ploverspindle.front.UserRequests;
 import org.ploverspindle.leadership.Election;
 import org.ploverspindle.leadership.Leader;
 import org.ploverspindle.leadership.LeaderContext;
@@ -52,7 +52,7 @@
   private final Catalogue catalogue;
   private final Timing timing;
   private final Election election;
-  private final Intake intake;
+  private final UserRequests requests;
   private final Pipelines pipelines;
   private final TokenBucket writes;
   private final LeaderContext leaderContext;
@@ -99,8 +99,8 @@
     this.pipelines = new Pipelines(loop, replica, specs);
     ProgressCounts counts = new ProgressCounts(replica);
     String nonce = settings.member() + "-" + Long.toString(random.nextLong() >>> 1, 36);
-    this.intake =
-        new Intake(
+    this.requests =
+        new UserRequests(
             loop,
             store,
             replica,
@@ -274,17 +274,17 @@
 
   @Override
   public void submit(byte[] body, Consumer<Answer> then) {
-    intake.submit(body, then);
+    requests.submit(body, then);
   }
 
   @Override
   public void poll(String uid, Consumer<Answer> then) {
-    intake.poll(uid, then);
+    requests.poll(uid, then);
   }
 
   @Override
   public void withdraw(String uid, Consumer<Answer> then) {
-    intake.withdraw(uid, then);
+    requests.cancel(uid, then);
   }
 
   @Override
@@ -359,6 +359,6 @@
 
   @Override
   public void jobStatus(String uid, Consumer<Answer> then) {
-    then.accept(Answer.text(intake.explain(uid)));
+    then.accept(Answer.text(requests.explain(uid)));
   }
 }
--- a/src/test/java/org/ploverspindle/front/IntakeTest.java
+++ b/src/test/java/org/ploverspindle/front/UserRequestsTest.java
@@ -25,30 +25,33 @@
 import org.ploverspindle.state.TokenBucket;
 
 /** Users' requests that come while a write of earlier ones is under way. */
-class IntakeTest {
+class UserRequestsTest {
   private final HeldStore store = new HeldStore();
-  private Intake intake;
+  private UserRequests requests;
+
+  private static Settings settings() {
+    Address nowhere = new Address("127.0.0.1", 1);
+    return new Settings(
+        "n0",
+        "a",
+        nowhere,
+        nowhere,
+        List.of(),
+        nowhere,
+        nowhere,
+        List.of("a"),
+        500,
+        List.of(new Settings.Team("red", 8, 0, 0, 0)),
+        List.of(),
+        new Settings.WorkerLimits(3, 14, 39),
+        new Settings.StateLimits(120, 35, 8, 12),
+        new Settings.CloudLimits(20, 3),
+        new Settings.Quota(1, 200, 500));
+  }
 
   @BeforeEach
   void open() {
-    Address nowhere = new Address("127.0.0.1", 1);
-    Settings settings =
-        new Settings(
-            "n0",
-            "a",
-            nowhere,
-            nowhere,
-            List.of(),
-            nowhere,
-            nowhere,
-            List.of("a"),
-            500,
-            List.of(new Settings.Team("red", 8, 0, 0, 0)),
-            List.of(),
-            new Settings.WorkerLimits(3, 14, 39),
-            new Settings.StateLimits(120, 35, 8, 12),
-            new Settings.CloudLimits(20, 3),
-            new Settings.Quota(1, 200, 500));
+    Settings settings = settings();
     Replica replica = new Replica(store, store, Keys.PREFIX, 700);
     SpecIndex specs = new SpecIndex(replica);
     ProgressCounts counts = new ProgressCounts(replica);
@@ -57,8 +60,8 @@
         List.of(
             new MachineType(
                 "small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, settings.zones())));
-    intake =
-        new Intake(
+    requests =
+        new UserRequests(
             store,
             store,
             replica,
@@ -86,7 +89,7 @@
     b.put("accelerators", 0.0).put("mem_gb", 1.0).put("bundle", "i").put("image_gb", 1.0);
     b.put("one_zone", false).put("apart", false).put("loaners", true).put("expected_s", 5.0);
     b.put("save_every_s", 0.0).put("save_cost_s", 0.0);
-    intake.submit(Cbor.write(b), then);
+    requests.submit(Cbor.write(b), then);
   }
 
   private List<String> words(String uid) {
--- a/src/test/java/org/ploverspindle/sim/PipelineDoorTest.java
+++ b/src/test/java/org/ploverspindle/sim/PipelineDoorTest.java
@@ -35,7 +35,7 @@
 
   private UserApiCluster.Heard submitRaw(int node, ObjectNode body) {
     return doors.wait(
-        then -> doors.nodes.get(node).intake.submit(Cbor.write(body), doors.heard(then)));
+        then -> doors.nodes.get(node).requests.submit(Cbor.write(body), doors.heard(then)));
   }
 
   @ParameterizedTest
@@ -236,15 +236,15 @@
     doors.pass(1_000);
     assertEquals(
         "run-50 is queued and awaits 2 of 2 jobs: run-0 (queued), run-2 (queued, awaits 1)",
-        doors.nodes.get(1).intake.explain("run-50"));
+        doors.nodes.get(1).requests.explain("run-50"));
     assertEquals(3, doors.nodes.get(1).pipelines.waiting());
     doors.done(uid(0));
     doors.pass(1_000);
     assertEquals(
         "run-50 is queued and awaits 1 of 2 jobs: run-2 (queued, awaits 1)",
-        doors.nodes.get(1).intake.explain("run-50"));
-    assertEquals("run-1 is queued and awaits nothing", doors.nodes.get(1).intake.explain(uid(1)));
-    assertEquals("run-7 is not known here", doors.nodes.get(1).intake.explain(uid(7)));
+        doors.nodes.get(1).requests.explain("run-50"));
+    assertEquals("run-1 is queued and awaits nothing", doors.nodes.get(1).requests.explain(uid(1)));
+    assertEquals("run-7 is not known here", doors.nodes.get(1).requests.explain(uid(7)));
   }
 
   /** Jobs accepted long ago, as many in a record as fit. */
--- a/src/test/java/org/ploverspindle/sim/UserApiCluster.java
+++ b/src/test/java/org/ploverspindle/sim/UserApiCluster.java
@@ -15,7 +15,7 @@
 import org.ploverspindle.cloud.Catalogue;
 import org.ploverspindle.cloud.MachineType;
 import org.ploverspindle.front.Answer;
-import org.ploverspindle.front.Intake;
+import org.ploverspindle.front.UserRequests;
 import org.ploverspindle.jobs.JobSpec;
 import org.ploverspindle.jobs.Resources;
 import org.ploverspindle.jobs.Urgency;
@@ -44,7 +44,7 @@
     final Replica replica = new Replica(process, this, Keys.PREFIX, 700);
     final SpecIndex specs = new SpecIndex(replica);
     final Pipelines pipelines = new Pipelines(process, replica, specs);
-    final Intake intake;
+    final UserRequests requests;
     boolean cut;
 
     Node(int i, Settings settings) {
@@ -54,8 +54,8 @@
               new MachineType(
                   "small", Resources.offered(4, 0, 16), 40, 1, 0.3, 0.1, 5, settings.zones())));
       double share = settings.stateLimits().writeRps() * 0.12;
-      intake =
-          new Intake(
+      requests =
+          new UserRequests(
               process,
               this,
               replica,
@@ -243,15 +243,15 @@
   }
 
   void submit(int node, String uid, List<String> awaits, Consumer<Heard> then) {
-    nodes.get(node).intake.submit(Cbor.write(body(uid, awaits)), heard(then));
+    nodes.get(node).requests.submit(Cbor.write(body(uid, awaits)), heard(then));
   }
 
   void poll(int node, String uid, Consumer<Heard> then) {
-    nodes.get(node).intake.poll(uid, heard(then));
+    nodes.get(node).requests.poll(uid, heard(then));
   }
 
   void withdraw(int node, String uid, Consumer<Heard> then) {
-    nodes.get(node).intake.withdraw(uid, heard(then));
+    nodes.get(node).requests.cancel(uid, heard(then));
   }
 
   Consumer<Answer> heard(Consumer<Heard> then) {
