--- a/src/main/java/org/ploverspindle/cli/Service.java
+++ b/src/main/java/org/ploverspindle/cli/Service.java
@@ -33,7 +33,7 @@
   private final EventLoop loop = new EventLoop();
   private final XnioWorker worker;
   private final Controller controller;
-  private final UserApi door;
+  private final UserApi userApi;
   private final PeerServer peers;
 
   Service(Settings settings, Policy policy, RandomGenerator random) throws IOException {
@@ -53,7 +53,7 @@
             settings,
             policy,
             random);
-    door =
+    userApi =
         new UserApi(
             loop,
             worker,
@@ -87,14 +87,14 @@
 
   void start() throws IOException {
     loop.start();
-    door.open();
+    userApi.open();
     peers.open();
     loop.execute(Rank.DECISION, controller::start);
   }
 
   void stop() {
     loop.execute(Rank.DECISION, controller::stop);
-    door.close();
+    userApi.close();
     peers.close();
     loop.close();
     worker.shutdownNow();
--- a/src/main/java/org/ploverspindle/front/UserApi.java
+++ b/src/main/java/org/ploverspindle/front/UserApi.java
@@ -67,8 +67,8 @@
     }
   }
 
-  /** What the door hands requests to, on the loop. */
-  public interface Desk {
+  /** What requests are handed to, on the loop. */
+  public interface RequestHandler {
     void submit(byte[] body, Consumer<Answer> then);
 
     void poll(String uid, Consumer<Answer> then);
@@ -84,7 +84,7 @@
   }
 
   private final EventLoop loop;
-  private final Desk desk;
+  private final RequestHandler handler;
   private final BooleanSupplier ready;
   private final int maxUserWork;
   private final int mostWithUsers;
@@ -95,10 +95,10 @@
       XnioWorker worker,
       Address at,
       Limits limits,
-      Desk desk,
+      RequestHandler handler,
       BooleanSupplier ready) {
     this.loop = loop;
-    this.desk = desk;
+    this.handler = handler;
     this.ready = ready;
     this.maxUserWork = Math.max(20, limits.maxConnections() / 8);
     this.mostWithUsers = limits.mostWithUsers();
@@ -136,7 +136,7 @@
     switch (path) {
       case "/checkin" -> {
         if (allow(exchange, method, Methods.POST)) {
-          body(exchange, (bytes, then) -> desk.checkin(bytes, then), Rank.REPORT);
+          body(exchange, (bytes, then) -> handler.checkin(bytes, then), Rank.REPORT);
         }
       }
       case "/ready" -> {
@@ -154,12 +154,13 @@
               exchange,
               Rank.SUBMISSION,
               then ->
-                  job.ifPresentOrElse(uid -> desk.jobStatus(uid, then), () -> desk.status(then)));
+                  job.ifPresentOrElse(
+                      uid -> handler.jobStatus(uid, then), () -> handler.status(then)));
         }
       }
       case JOBS -> {
         if (allow(exchange, method, Methods.POST) && admitted(exchange, Rank.SUBMISSION)) {
-          body(exchange, desk::submit, Rank.SUBMISSION);
+          body(exchange, handler::submit, Rank.SUBMISSION);
         }
       }
       default -> job(exchange, path, method);
@@ -175,12 +176,12 @@
     int slash = rest.indexOf('/');
     if (slash < 0) {
       if (allow(exchange, method, Methods.GET) && admitted(exchange, Rank.POLL)) {
-        hand(exchange, Rank.POLL, then -> desk.poll(rest, then));
+        hand(exchange, Rank.POLL, then -> handler.poll(rest, then));
       }
     } else if (rest.substring(slash).equals("/withdraw")) {
       if (allow(exchange, method, Methods.POST) && admitted(exchange, Rank.SUBMISSION)) {
         String uid = rest.substring(0, slash);
-        body(exchange, (bytes, then) -> desk.withdraw(uid, then), Rank.SUBMISSION);
+        body(exchange, (bytes, then) -> handler.withdraw(uid, then), Rank.SUBMISSION);
       }
     } else {
       send(exchange, Answer.error(404, "no such path"));
--- a/src/main/java/org/ploverspindle/leadership/Reachability.java
+++ b/src/main/java/org/ploverspindle/leadership/Reachability.java
@@ -9,8 +9,8 @@
 import org.ploverspindle.workers.MachineRegistry;
 
 /**
- * Do the machines reach this leader, and do its answers reach them? A lead that is kept by its hold
- * alone would cost every lease. Nothing is concluded here about any one machine.
+ * Do the machines reach this leader, and do its answers reach them? A lead that is kept by its
+ * lease alone would cost every lease. Nothing is concluded here about any one machine.
  */
 final class Reachability {
   /** So many machines do not all fall silent at once by chance; fewer are given more time. */
--- a/src/main/java/org/ploverspindle/node/Controller.java
+++ b/src/main/java/org/ploverspindle/node/Controller.java
@@ -38,9 +38,9 @@
 
 /**
  * One controller without its sockets: the copy of the state, the election, users' requests, and at
- * times a steward. Everything here runs on the scheduler's one thread of control.
+ * times a leader. Everything here runs on the scheduler's one thread of control.
  */
-public final class Controller implements Election.Listener, UserApi.Desk {
+public final class Controller implements Election.Listener, UserApi.RequestHandler {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
   private static final double ACCEPTING_SHARE = 0.12;
@@ -234,7 +234,7 @@
       ready = now;
     }
     if (reach.othersReachIt() && (failing || election.mayDecide() && reach.isAloneWithout())) {
-      // The hold is renewed and nothing else is answered: the lead would be kept for nothing.
+      // The lease is renewed and nothing else is answered: the lead would be kept for nothing.
       election.resignAndPause("the state service serves others, and refuses this leader");
     }
   }
@@ -270,7 +270,7 @@
     peers.tellAll(new PeerRecord.Resigned(settings.member(), term.token()));
   }
 
-  // ---- the door's requests
+  // ---- requests of users and workers
 
   @Override
   public void submit(byte[] body, Consumer<Answer> then) {
--- a/src/main/java/org/ploverspindle/peers/PeerServer.java
+++ b/src/main/java/org/ploverspindle/peers/PeerServer.java
@@ -71,7 +71,7 @@
     server = Optional.of(channel);
   }
 
-  /** The port that is listened on, for a door opened at port 0. */
+  /** The port that is listened on, for a server opened at port 0. */
   public int port() {
     return server.map(s -> s.getLocalAddress(InetSocketAddress.class).getPort()).orElse(-1);
   }
--- a/src/test/java/org/ploverspindle/cloud/BootsTest.java
+++ b/src/test/java/org/ploverspindle/cloud/BootsTest.java
@@ -27,7 +27,7 @@
 
   private final Catalogue catalogue = new Catalogue(List.of("a"));
   private final MachineRegistry fleet;
-  private final ReportHandler desk;
+  private final ReportHandler reportHandler;
   private final Boots boots;
   private final Rentals.Group group = new Rentals.Group(0, 0, true);
 
@@ -37,7 +37,7 @@
             new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
     TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
     fleet = new MachineRegistry(catalogue, teams, Timing.of(WORKERS, 1), TERM);
-    desk =
+    reportHandler =
         new ReportHandler(
             fleet,
             TERM,
@@ -60,7 +60,7 @@
   }
 
   private void comesUp(Machine m, long nowMs) {
-    desk.take(
+    reportHandler.take(
         new Report(m.host(), "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()),
         nowMs);
   }
--- a/src/test/java/org/ploverspindle/front/UserApiTest.java
+++ b/src/test/java/org/ploverspindle/front/UserApiTest.java
@@ -28,9 +28,9 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-/** The door over real sockets on loopback; what lies behind it is a plain echo. */
+/** The user API over real sockets on loopback; what lies behind it is a plain echo. */
 class UserApiTest {
-  private static final class Echo implements UserApi.Desk {
+  private static final class Echo implements UserApi.RequestHandler {
     @Override
     public void submit(byte[] body, Consumer<Answer> then) {
       then.accept(Answer.of(201, Cbor.map().put("size", body.length)));
@@ -64,7 +64,7 @@
 
   private EventLoop loop;
   private XnioWorker worker;
-  private UserApi door;
+  private UserApi userApi;
   private int port;
   private volatile boolean ready = true;
 
@@ -76,7 +76,7 @@
     loop = new EventLoop();
     loop.start();
     worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-    door =
+    userApi =
         new UserApi(
             loop,
             worker,
@@ -84,12 +84,12 @@
             new UserApi.Limits(24, 4, 10_000),
             new Echo(),
             () -> ready);
-    door.open();
+    userApi.open();
   }
 
   @AfterEach
   void close() {
-    door.close();
+    userApi.close();
     loop.close();
     worker.shutdownNow();
   }
@@ -201,7 +201,7 @@
       assertEquals(421, ask(next, "POST", "/checkin"), "the freed socket serves another worker");
       open.remove(19).close();
       open.remove(18).close();
-      // The door learns of the two ends in its own time.
+      // The server learns of the two ends in its own time.
       int status = 503;
       for (int tries = 0; status == 503 && tries < 500; tries++) {
         try (Socket user = new Socket("127.0.0.1", port)) {
--- a/src/test/java/org/ploverspindle/leadership/ReachabilityTest.java
+++ b/src/test/java/org/ploverspindle/leadership/ReachabilityTest.java
@@ -32,7 +32,7 @@
 
   private final Settings settings = settings();
   private final MachineRegistry fleet;
-  private final ReportHandler desk;
+  private final ReportHandler reportHandler;
   private Reachability reach;
   private long tally;
   private boolean listRead;
@@ -45,7 +45,7 @@
     fleet =
         new MachineRegistry(
             catalogue, new TeamUsage(settings.teams()), Timing.of(settings.workers(), 1), TERM);
-    desk =
+    reportHandler =
         new ReportHandler(
             fleet,
             TERM,
@@ -80,7 +80,7 @@
   /** All report, each at its own moment of the three seconds before. */
   private void reports(int machine, long warrant, long nowMs) {
     reach.heard(nowMs);
-    desk.take(
+    reportHandler.take(
         new Report(
             "i-" + machine,
             "",
--- a/src/test/java/org/ploverspindle/placement/AdmissionOrderTest.java
+++ b/src/test/java/org/ploverspindle/placement/AdmissionOrderTest.java
@@ -51,13 +51,13 @@
     MachineRegistry fleet =
         new MachineRegistry(
             catalogue, TEAMS, Timing.of(new Settings.WorkerLimits(3, 14, 39), 1), TERM);
-    desk(fleet)
+    reportHandler(fleet)
         .take(
             new Report("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()), NOW);
     return fleet;
   }
 
-  private static ReportHandler desk(MachineRegistry fleet) {
+  private static ReportHandler reportHandler(MachineRegistry fleet) {
     return new ReportHandler(
         fleet,
         TERM,
@@ -84,7 +84,7 @@
       items.add(
           new Report.Item("run-1", task, task + 1, Report.Phase.RUNNING, Report.Cause.NONE, false));
     }
-    desk(fleet)
+    reportHandler(fleet)
         .take(new Report("i-1", "", "t", "a", true, 1, 2, 7, OptionalDouble.empty(), items), NOW);
     Job high = job("run-2", Urgency.HIGH, 2, 10, 60);
     high.types().set(0);
--- a/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -60,7 +60,7 @@
   private final Estimates estimates = new Estimates();
   private final Map<String, Job> jobs = new HashMap<>();
   private MachineRegistry fleet;
-  private ReportHandler desk;
+  private ReportHandler reportHandler;
 
   private Job job(Random r, int i, Urgency urgency, int tasks) {
     JobSpec spec =
@@ -110,7 +110,7 @@
     fleet =
         new MachineRegistry(
             catalogue, teams, Timing.of(new Settings.WorkerLimits(5, 26.5, 51.5), 1), TERM);
-    desk =
+    reportHandler =
         new ReportHandler(
             fleet,
             TERM,
@@ -143,10 +143,10 @@
                   job.uid(), task, attempt++, Report.Phase.RUNNING, Report.Cause.NONE, false));
         }
       }
-      desk.take(
+      reportHandler.take(
           new Report(host, "", type, zone, m.spot(), 1, 1, 7, OptionalDouble.empty(), items),
           seenMs);
-      desk.take(
+      reportHandler.take(
           new Report(host, "", type, zone, m.spot(), 1, 2, 7, OptionalDouble.empty(), items), NOW);
     }
   }
@@ -343,7 +343,7 @@
                 false));
       }
       machines.seen = 0;
-      desk.take(
+      reportHandler.take(
           new Report(
               m.host(),
               "",
--- a/src/test/java/org/ploverspindle/placement/PlacerTest.java
+++ b/src/test/java/org/ploverspindle/placement/PlacerTest.java
@@ -75,7 +75,7 @@
 
   private MachineRegistry fleet(Random r, int machines) {
     MachineRegistry fleet = new MachineRegistry(catalogue, teams, Timing.of(WORKERS, 1), TERM);
-    ReportHandler desk =
+    ReportHandler reportHandler =
         new ReportHandler(
             fleet,
             TERM,
@@ -87,7 +87,7 @@
     for (int i = 0; i < machines; i++) {
       String type = r.nextBoolean() ? "small" : "large";
       String zone = r.nextBoolean() ? "a" : "b";
-      desk.take(
+      reportHandler.take(
           new Report(
               "i-" + i,
               "",
--- a/src/test/java/org/ploverspindle/sim/FleetLimitsTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetLimitsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.jobs.Urgency;
 import org.ploverspindle.policy.Policy;
@@ -45,13 +46,16 @@
   void aListOfManyPagesIsReadFromACloudThatAllowsOneCallASecond() {
     SimulatedCluster cluster = cluster(5, 4_400, 1);
     rentedBefore(cluster, 4_400);
+    // The list lags: the first leader reads an empty one. The next one meets all machines.
+    cluster.clock.at(
+        15_000, () -> IntStream.range(0, NODES).forEach(node -> cluster.crash(node, 500)));
     // It fits on no machine that there is.
     var job = EndOfDayTest.job(cluster, "wide", Urgency.HIGH, 2, 12, 5, 0);
-    cluster.clock.at(3_000, () -> cluster.user(job));
+    cluster.clock.at(20_000, () -> cluster.user(job));
     // Each controller asks for the machine types at its start.
-    cluster.clock.runUntil(10_000);
+    cluster.clock.runUntil(25_000);
     long atStart = cluster.cloud.requests.refused();
-    cluster.clock.runUntil(120_000);
+    cluster.clock.runUntil(150_000);
     assertEquals(List.of(), cluster.checker.broken());
     assertTrue(cluster.checker.isDone(job.uid()), "a machine was rented for it");
     assertEquals(atStart, cluster.cloud.requests.refused(), "calls beyond the cloud's rate");
