Review: case 3, connections of crashed peers block later ones

After some crashes without a word, a controller refuses all connections of the others for good, so one that the state service refuses alone can't find out and stays ready.

--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -38,6 +38,14 @@
     }
   }
 
+  /**
+   * Ends the cut. What was sent meanwhile stays lost, also the end of a connection whose sender has
+   * ended: the other side, which sends nothing, does not learn of it.
+   */
+  void healAfterLoss() {
+    cut = false;
+  }
+
   private static void start(Runnable work) {
     Thread t = new Thread(work);
     t.setDaemon(true);
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -53,6 +53,7 @@
   private final Bucket requests;
   private final Bucket writes;
   private final HttpServer server;
+  private final java.util.Set<String> refused = java.util.concurrent.ConcurrentHashMap.newKeySet();
   private long ledger;
   private long dropped;
   private long lastHold;
@@ -85,6 +86,26 @@
     return server.getAddress().getPort();
   }
 
+  /** The port of one controller, which alone can be refused. */
+  int portOf(String node) throws IOException {
+    return Http.serve(
+            (method, path, query, body) ->
+                refused.contains(node)
+                    ? Http.status(503, Cb.map("error", "unavailable"))
+                    : handle(method, path, query, body))
+        .getAddress()
+        .getPort();
+  }
+
+  /** From now on, or until now, all requests of this controller get 503. */
+  void refuse(String node, boolean isRefused) {
+    if (isRefused) {
+      refused.add(node);
+    } else {
+      refused.remove(node);
+    }
+  }
+
   synchronized String summary() {
     long bytes = 0;
     for (Entry e : entries.values()) {
