--- a/src/main/java/org/ploverspindle/progress/LogRecordBuilder.java
+++ b/src/main/java/org/ploverspindle/progress/LogRecordBuilder.java
@@ -1,12 +1,12 @@
 package org.ploverspindle.progress;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.ploverspindle.cluster.Job;
 import org.ploverspindle.state.ProgressLogRecord;
 
@@ -18,8 +18,7 @@
   private final WriteBatch batch;
   private final WriteBatchContext context;
   private final ProgressLogRecord.Builder builder;
-  private final Map<TaskShard, BitSet> includedTasks = new LinkedHashMap<>();
-  private final List<TaskStatuses> statuses = new ArrayList<>();
+  private final Map<Job, TaskStatuses> statusesByJob = new LinkedHashMap<>();
 
   LogRecordBuilder(long sequence, String id, WriteBatch batch, WriteBatchContext context) {
     this.sequence = sequence;
@@ -40,13 +39,20 @@
     return builder.bytes();
   }
 
-  /** Returns the tasks whose status is in the record, by shard. */
-  Map<TaskShard, BitSet> includedTasks() {
-    return Collections.unmodifiableMap(includedTasks);
+  boolean isEmpty() {
+    return statusesByJob.isEmpty();
   }
 
-  List<TaskStatuses> statuses() {
-    return Collections.unmodifiableList(statuses);
+  /** Returns the tasks whose status is in the record, by job. */
+  Map<Job, BitSet> includedTasks() {
+    Map<Job, BitSet> tasks = new LinkedHashMap<>();
+    statusesByJob.forEach((job, statuses) -> tasks.put(job, statuses.tasks()));
+    return tasks;
+  }
+
+  /** Returns the statuses in the record, one element per job. */
+  Collection<TaskStatuses> statuses() {
+    return Collections.unmodifiableCollection(statusesByJob.values());
   }
 
   /**
@@ -59,14 +65,14 @@
    *     yet
    */
   boolean carryOver(long overwrittenSequence) {
-    Map<TaskShard, BitSet> overwritten = context.slots().latestStatusIn(overwrittenSequence);
-    for (Map.Entry<TaskShard, BitSet> entry : overwritten.entrySet()) {
-      TaskShard shard = entry.getKey();
-      Job job = shard.job();
-      if (job.isFullyStopped() && !hidesOlderStatuses(shard, overwrittenSequence)) {
-        continue;
+    Map<Job, BitSet> overwritten = context.slots().latestStatuses().latestIn(overwrittenSequence);
+    for (Map.Entry<Job, BitSet> entry : overwritten.entrySet()) {
+      Job job = entry.getKey();
+      BitSet tasks = entry.getValue();
+      if (job.isFullyStopped()) {
+        tasks = hidingOlderStatuses(job, tasks, overwrittenSequence);
       }
-      BitSet missing = notYetIncluded(shard, entry.getValue());
+      BitSet missing = notYetIncluded(job, tasks);
       if (!missing.isEmpty() && (job.quarantined() || !appendTasks(job, missing))) {
         return false;
       }
@@ -75,22 +81,35 @@
   }
 
   /**
-   * Whether a snapshot of the shard exists, or a record before the overwritten one has statuses of
-   * the job. Readers would use these older statuses if the overwritten record were gone. Always
-   * false for a quarantined job.
+   * Returns those of the tasks of which a snapshot exists, or all of them if a record before the
+   * overwritten one has statuses of the job. Readers would use these older statuses if the
+   * overwritten record were gone. Returns no tasks for a quarantined job.
    */
-  private boolean hidesOlderStatuses(TaskShard shard, long overwrittenSequence) {
-    return !shard.job().quarantined()
-        && (context.snapshots().exists(shard)
-            || context.slots().isMentionedBefore(shard.job().uid(), overwrittenSequence));
+  private BitSet hidingOlderStatuses(Job job, BitSet tasks, long overwrittenSequence) {
+    if (job.quarantined()) {
+      return NO_TASKS;
+    }
+    if (context.slots().isMentionedBefore(job.uid(), overwrittenSequence)) {
+      return tasks;
+    }
+    BitSet hiding = new BitSet();
+    for (int task = tasks.nextSetBit(0); task >= 0; task = tasks.nextSetBit(task + 1)) {
+      hiding.set(task, context.snapshots().exists(TaskShard.of(job, task)));
+    }
+    return hiding;
   }
 
-  private BitSet notYetIncluded(TaskShard shard, BitSet tasks) {
-    BitSet missing = batch.notYetIncluded(shard, tasks);
-    missing.andNot(includedTasks.getOrDefault(shard, NO_TASKS));
+  private BitSet notYetIncluded(Job job, BitSet tasks) {
+    BitSet missing = batch.notYetIncluded(job, tasks);
+    missing.andNot(includedTasks(job));
     return missing;
   }
 
+  private BitSet includedTasks(Job job) {
+    TaskStatuses statuses = statusesByJob.get(job);
+    return statuses == null ? NO_TASKS : statuses.tasks();
+  }
+
   /**
    * Appends the current status of as many tasks as fit of those whose shard is too large for a
    * snapshot and whose latest status is in a record up to this one.
@@ -98,21 +117,22 @@
    * @return false if there are no such tasks that the batch does not include yet
    */
   boolean appendOversizedShards(long lastSequence) {
-    boolean foundMissing = false;
-    for (Map<TaskShard, BitSet> shards : context.slots().latestStatusUpTo(lastSequence).values()) {
-      for (Map.Entry<TaskShard, BitSet> entry : shards.entrySet()) {
-        TaskShard shard = entry.getKey();
-        Job job = shard.job();
-        if (!job.quarantined() && !job.isFullyStopped() && context.isTooLarge(shard)) {
-          BitSet missing = notYetIncluded(shard, entry.getValue());
-          foundMissing |= !missing.isEmpty();
-          if (!appendTasks(job, missing)) {
+    AtomicBoolean foundMissing = new AtomicBoolean();
+    LatestStatuses latestStatuses = context.slots().latestStatuses();
+    latestStatuses.visitShardsUpTo(
+        lastSequence,
+        shard -> {
+          Job job = shard.job();
+          if (job.quarantined() || job.isFullyStopped() || !context.isTooLarge(shard)) {
             return true;
           }
-        }
-      }
-    }
-    return foundMissing;
+          BitSet missing = notYetIncluded(job, latestStatuses.latestUpTo(shard, lastSequence));
+          if (!missing.isEmpty()) {
+            foundMissing.set(true);
+          }
+          return appendTasks(job, missing);
+        });
+    return foundMissing.get();
   }
 
   /**
@@ -125,9 +145,7 @@
     for (Map.Entry<Job, BitSet> entry : tasksByJob.entrySet()) {
       Job job = entry.getKey();
       BitSet missing = (BitSet) entry.getValue().clone();
-      for (TaskShard shard : TaskShard.splitByShard(job, missing).keySet()) {
-        missing.andNot(includedTasks.getOrDefault(shard, NO_TASKS));
-      }
+      missing.andNot(includedTasks(job));
       foundMissing |= !missing.isEmpty();
       if (!appendTasks(job, missing)) {
         return true;
@@ -160,11 +178,7 @@
   }
 
   private void include(TaskStatuses taskStatuses) {
-    statuses.add(taskStatuses);
-    TaskShard.splitByShard(taskStatuses.job(), taskStatuses.tasks())
-        .forEach(
-            (shard, shardTasks) ->
-                includedTasks.computeIfAbsent(shard, s -> new BitSet()).or(shardTasks));
+    statusesByJob.merge(taskStatuses.job(), taskStatuses, TaskStatuses::plus);
   }
 
   private static BitSet firstTasks(BitSet tasks, int maxCount) {
--- a/src/main/java/org/ploverspindle/progress/ProgressEncoder.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressEncoder.java
@@ -9,6 +9,7 @@
 import org.ploverspindle.cluster.Placement;
 import org.ploverspindle.state.ProgressLogRecord;
 import org.ploverspindle.state.SnapshotRecord;
+import org.ploverspindle.state.TaskRanges;
 
 /** Converts statuses of tasks to their stored forms. */
 final class ProgressEncoder {
@@ -31,8 +32,8 @@
         job.uid(),
         job.completedTasks().size(),
         job.activePlacements().size(),
-        statuses.completed(),
-        cleared,
+        TaskRanges.of(statuses.completed()),
+        TaskRanges.of(cleared),
         toRecorded(statuses.placements()));
   }
 
--- a/src/main/java/org/ploverspindle/progress/ProgressFlusher.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressFlusher.java
@@ -128,10 +128,10 @@
     batch
         .records()
         .forEach(
-            (sequence, shards) ->
-                shards
+            (sequence, tasksByJob) ->
+                tasksByJob
                     .keySet()
-                    .forEach(shard -> context.slots().addMention(shard.job().uid(), sequence)));
+                    .forEach(job -> context.slots().addMention(job.uid(), sequence)));
     batch.statuses().forEach(context.state().durableTasks()::markPossiblyStored);
     timer.writeStarted();
     changeBudget.take(batch.changeCount());
--- a/src/main/java/org/ploverspindle/progress/ProgressLoader.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressLoader.java
@@ -30,8 +30,7 @@
 
   /** Registers that the log record has statuses of these tasks that no snapshot covers. */
   void loadUncoveredStatuses(Job job, BitSet tasks, long sequence) {
-    TaskShard.splitByShard(job, tasks)
-        .forEach((shard, shardTasks) -> state.slots().statusRecorded(shard, shardTasks, sequence));
+    state.slots().latestStatuses().statusRecorded(job, tasks, sequence);
   }
 
   /** Registers that the log record has statuses of the job, whether or not snapshots cover them. */
--- a/src/main/java/org/ploverspindle/progress/ProgressLogSlots.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressLogSlots.java
@@ -1,18 +1,9 @@
 package org.ploverspindle.progress;
 
 import java.util.BitSet;
-import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.TreeSet;
-import org.ploverspindle.cluster.Job;
 import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.ProgressLogRecord;
 
@@ -21,13 +12,7 @@
  * each task. A slot may be reused only if no task's latest status is lost with the record in it.
  */
 final class ProgressLogSlots {
-  /** The tasks whose latest status is in a record, by the record's sequence number and by shard. */
-  private final TreeMap<Long, Map<TaskShard, BitSet>> latestStatusByRecord = new TreeMap<>();
-
-  /**
-   * The sequence numbers under which {@link #latestStatusByRecord} has tasks of a shard, by shard.
-   */
-  private final Map<TaskShard, TreeSet<Long>> sequencesByShard = new HashMap<>();
+  private final LatestStatuses latestStatuses = new LatestStatuses();
 
   /**
    * The uids of the jobs that a record has statuses of, by the record's sequence number. Includes
@@ -109,72 +94,9 @@
     return jobsByRecord.headMap(sequence).values().stream().anyMatch(uids -> uids.contains(uid));
   }
 
-  /** Returns the tasks whose latest status is in this record, by shard. */
-  Map<TaskShard, BitSet> latestStatusIn(long sequence) {
-    return Collections.unmodifiableMap(latestStatusByRecord.getOrDefault(sequence, Map.of()));
-  }
-
-  /**
-   * Returns the tasks whose latest status is in a record up to this one, by record and by shard.
-   */
-  SortedMap<Long, Map<TaskShard, BitSet>> latestStatusUpTo(long sequence) {
-    return Collections.unmodifiableSortedMap(latestStatusByRecord.headMap(sequence, true));
-  }
-
-  /** Finds the job with this uid if the latest status of one of its tasks is in the log. */
-  Optional<Job> findJob(String uid) {
-    return sequencesByShard.keySet().stream()
-        .map(TaskShard::job)
-        .filter(j -> j.uid().equals(uid))
-        .findFirst();
-  }
-
-  /**
-   * Called when the record has the statuses of these tasks. They become the latest ones, except for
-   * tasks whose status is also in a newer record.
-   */
-  void statusRecorded(TaskShard shard, BitSet tasks, long sequence) {
-    BitSet newest = (BitSet) tasks.clone();
-    for (Long otherSequence : List.copyOf(sequencesByShard.getOrDefault(shard, new TreeSet<>()))) {
-      BitSet otherTasks = latestStatusByRecord.get(otherSequence).get(shard);
-      if (otherSequence > sequence) {
-        newest.andNot(otherTasks);
-      } else if (otherSequence < sequence) {
-        otherTasks.andNot(tasks);
-        if (otherTasks.isEmpty()) {
-          release(shard, otherSequence);
-        }
-      }
-    }
-    if (!newest.isEmpty()) {
-      latestStatusByRecord
-          .computeIfAbsent(sequence, key -> new LinkedHashMap<>())
-          .computeIfAbsent(shard, key -> new BitSet())
-          .or(newest);
-      sequencesByShard.computeIfAbsent(shard, key -> new TreeSet<>()).add(sequence);
-    }
-  }
-
-  /** Called when no record up to {@code lastSequence} is needed for the shard any more. */
-  void releaseUpTo(TaskShard shard, long lastSequence) {
-    for (Long sequence :
-        List.copyOf(
-            sequencesByShard.getOrDefault(shard, new TreeSet<>()).headSet(lastSequence, true))) {
-      release(shard, sequence);
-    }
-  }
-
-  private void release(TaskShard shard, long sequence) {
-    Map<TaskShard, BitSet> shards = latestStatusByRecord.get(sequence);
-    shards.remove(shard);
-    if (shards.isEmpty()) {
-      latestStatusByRecord.remove(sequence);
-    }
-    TreeSet<Long> sequences = sequencesByShard.get(shard);
-    sequences.remove(sequence);
-    if (sequences.isEmpty()) {
-      sequencesByShard.remove(shard);
-    }
+  /** Which record holds the latest status of each task. */
+  LatestStatuses latestStatuses() {
+    return latestStatuses;
   }
 
   /**
@@ -190,9 +112,7 @@
         .removeIf(overwritten -> ProgressLogRecord.slot(overwritten) == slot);
     long overwritten = storedSequences[slot];
     if (overwritten < sequence) {
-      List.copyOf(latestStatusIn(overwritten).keySet()).stream()
-          .filter(shard -> shard.job().isFullyStopped())
-          .forEach(shard -> release(shard, overwritten));
+      latestStatuses.releaseFullyStopped(overwritten);
     }
   }
 }
--- a/src/main/java/org/ploverspindle/progress/ProgressState.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressState.java
@@ -16,6 +16,9 @@
 
   /** Finds the job with this uid if it has pending or recorded progress. */
   Optional<Job> findJob(String uid) {
-    return pending.findJob(uid).or(() -> slots.findJob(uid)).or(() -> durableTasks.findJob(uid));
+    return pending
+        .findJob(uid)
+        .or(() -> slots.latestStatuses().findJob(uid))
+        .or(() -> durableTasks.findJob(uid));
   }
 }
--- a/src/main/java/org/ploverspindle/progress/ProgressWriter.java
+++ b/src/main/java/org/ploverspindle/progress/ProgressWriter.java
@@ -164,7 +164,7 @@
 
   private void releaseShard(TaskShard shard, boolean recordsStillRead) {
     if (!recordsStillRead) {
-      state.slots().releaseUpTo(shard, Long.MAX_VALUE);
+      state.slots().latestStatuses().releaseUpTo(shard, Long.MAX_VALUE);
     }
     state.snapshots().jobTerminated(shard);
     if (state.snapshots().exists(shard)) {
--- a/src/main/java/org/ploverspindle/progress/RecordedProgress.java
+++ b/src/main/java/org/ploverspindle/progress/RecordedProgress.java
@@ -15,6 +15,7 @@
 import org.ploverspindle.state.Replica;
 import org.ploverspindle.state.SnapshotRecord;
 import org.ploverspindle.state.StateStore.Entry;
+import org.ploverspindle.state.TaskRanges;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,9 +29,12 @@
 
   private final Replica replica;
   private final ProgressLoader loader;
-  private final Map<String, List<ProgressLogRecord>> recordsByJob = new HashMap<>();
+  private final Map<String, List<LoggedDelta>> deltasByJob = new HashMap<>();
   private boolean hasUnreadableLogRecord;
 
+  /** The statuses of a job's tasks in the log record with this sequence number. */
+  private record LoggedDelta(long sequence, ProgressLogRecord.Delta delta) {}
+
   /**
    * The latest recorded statuses of a job's tasks.
    *
@@ -47,10 +51,11 @@
     List<ProgressLogRecord> records = readLog();
     records.sort(Comparator.comparingLong(ProgressLogRecord::sequence));
     for (ProgressLogRecord record : records) {
-      record.deltas().stream()
-          .map(ProgressLogRecord.Delta::uid)
-          .distinct()
-          .forEach(uid -> recordsByJob.computeIfAbsent(uid, u -> new ArrayList<>()).add(record));
+      for (ProgressLogRecord.Delta delta : record.deltas()) {
+        deltasByJob
+            .computeIfAbsent(delta.uid(), uid -> new ArrayList<>())
+            .add(new LoggedDelta(record.sequence(), delta));
+      }
     }
   }
 
@@ -83,20 +88,16 @@
 
   /** Whether any record has statuses of the job's tasks. */
   public boolean hasRecords(String uid) {
-    return recordsByJob.containsKey(uid) || !replica.withPrefix(Keys.snapshotsOf(uid)).isEmpty();
+    return deltasByJob.containsKey(uid) || !replica.withPrefix(Keys.snapshotsOf(uid)).isEmpty();
   }
 
   /** Returns the job's progress. Quarantines the job if one of its snapshots is unreadable. */
   public RecordedStatuses statusesOf(Job job) {
     RecordedStatuses statuses = new RecordedStatuses(new BitSet(), new TreeMap<>());
     long[] lastCoveredSequences = readSnapshots(job, statuses);
-    for (ProgressLogRecord record : recordsByJob.getOrDefault(job.uid(), List.of())) {
-      for (ProgressLogRecord.Delta delta : record.deltas()) {
-        if (delta.uid().equals(job.uid())) {
-          loader.loadMention(job, record.sequence());
-          applyDelta(job, record.sequence(), delta, lastCoveredSequences, statuses);
-        }
-      }
+    for (LoggedDelta logged : deltasByJob.getOrDefault(job.uid(), List.of())) {
+      loader.loadMention(job, logged.sequence());
+      applyDelta(job, logged.sequence(), logged.delta(), lastCoveredSequences, statuses);
     }
     statuses.completed.clear(
         job.spec().tasks(), Math.max(job.spec().tasks(), statuses.completed.length()));
@@ -138,22 +139,10 @@
       ProgressLogRecord.Delta delta,
       long[] lastCoveredSequences,
       RecordedStatuses statuses) {
-    BitSet uncovered = new BitSet();
-    delta.completed().stream()
-        .filter(task -> isUncovered(job, task, sequence, lastCoveredSequences))
-        .forEach(
-            task -> {
-              uncovered.set(task);
-              statuses.completed.set(task);
-              statuses.placements.remove(task);
-            });
-    delta.cleared().stream()
-        .filter(task -> isUncovered(job, task, sequence, lastCoveredSequences))
-        .forEach(
-            task -> {
-              uncovered.set(task);
-              statuses.placements.remove(task);
-            });
+    BitSet uncovered = uncovered(job, delta.completed(), sequence, lastCoveredSequences);
+    statuses.completed.or(uncovered);
+    uncovered.or(uncovered(job, delta.cleared(), sequence, lastCoveredSequences));
+    uncovered.stream().forEach(statuses.placements::remove);
     for (SnapshotRecord.RecordedPlacement placement : delta.placements()) {
       if (isUncovered(job, placement.task(), sequence, lastCoveredSequences)) {
         uncovered.set(placement.task());
@@ -165,6 +154,19 @@
     }
   }
 
+  /** Returns those of the job's tasks whose status in this record no snapshot covers. */
+  private static BitSet uncovered(
+      Job job, TaskRanges tasks, long sequence, long[] lastCoveredSequences) {
+    BitSet uncovered = new BitSet();
+    for (int range = 0; range < tasks.rangeCount(); range++) {
+      int lastTask = Math.min(tasks.lastTask(range), job.spec().tasks() - 1);
+      for (int task = tasks.firstTask(range); task <= lastTask; task++) {
+        uncovered.set(task, isUncovered(job, task, sequence, lastCoveredSequences));
+      }
+    }
+    return uncovered;
+  }
+
   private static boolean isUncovered(
       Job job, int task, long sequence, long[] lastCoveredSequences) {
     return task < job.spec().tasks() && sequence > lastCoveredSequences[job.shardOf(task)];
--- a/src/main/java/org/ploverspindle/progress/ShardSnapshots.java
+++ b/src/main/java/org/ploverspindle/progress/ShardSnapshots.java
@@ -16,7 +16,11 @@
 
   /** Sets the mod revision of the shard's snapshot; 0 if there is none. */
   void setModRevision(TaskShard shard, long modRevision) {
-    modRevisions.put(shard, modRevision);
+    if (modRevision == 0) {
+      markRemoved(shard);
+    } else {
+      modRevisions.put(shard, modRevision);
+    }
   }
 
   void markRemoved(TaskShard shard) {
--- a/src/main/java/org/ploverspindle/progress/TaskStatuses.java
+++ b/src/main/java/org/ploverspindle/progress/TaskStatuses.java
@@ -16,10 +16,10 @@
 record TaskStatuses(Job job, BitSet tasks, BitSet completed, List<Placement> placements) {
   /** Returns the current statuses of these tasks. */
   static TaskStatuses of(Job job, BitSet tasks) {
-    BitSet completed = job.completedTasks().toBitSet();
-    completed.and(tasks);
+    BitSet completed = new BitSet();
     List<Placement> placements = new ArrayList<>();
     for (int task = tasks.nextSetBit(0); task >= 0; task = tasks.nextSetBit(task + 1)) {
+      completed.set(task, job.completedTasks().contains(task));
       Placement placement = job.activePlacement(task);
       if (placement != null) {
         placements.add(placement);
@@ -27,4 +27,15 @@
     }
     return new TaskStatuses(job, tasks, completed, placements);
   }
+
+  /** Returns these statuses and those of other tasks of the same job. */
+  TaskStatuses plus(TaskStatuses other) {
+    BitSet allTasks = (BitSet) tasks.clone();
+    allTasks.or(other.tasks);
+    BitSet allCompleted = (BitSet) completed.clone();
+    allCompleted.or(other.completed);
+    List<Placement> allPlacements = new ArrayList<>(placements);
+    allPlacements.addAll(other.placements);
+    return new TaskStatuses(job, allTasks, allCompleted, allPlacements);
+  }
 }
--- a/src/main/java/org/ploverspindle/progress/WriteBatch.java
+++ b/src/main/java/org/ploverspindle/progress/WriteBatch.java
@@ -21,7 +21,7 @@
   private final List<Job> completedJobs = new ArrayList<>();
   private final List<TaskShard> snapshots = new ArrayList<>();
   private final List<TaskShard> removedSnapshots = new ArrayList<>();
-  private final Map<Long, Map<TaskShard, BitSet>> records = new LinkedHashMap<>();
+  private final Map<Long, Map<Job, BitSet>> records = new LinkedHashMap<>();
 
   /**
    * @param lastCoveredSequence the sequence number of the last log record before those of the batch
@@ -66,13 +66,13 @@
     removedSnapshots.add(shard);
   }
 
-  /** Returns those of the shard's tasks whose status this batch does not include yet. */
-  BitSet notYetIncluded(TaskShard shard, BitSet tasks) {
+  /** Returns those of the job's tasks whose status this batch does not include yet. */
+  BitSet notYetIncluded(Job job, BitSet tasks) {
     BitSet missing = (BitSet) tasks.clone();
-    if (snapshots.contains(shard)) {
-      missing.clear();
-    }
-    records.values().forEach(shards -> missing.andNot(shards.getOrDefault(shard, NO_TASKS)));
+    snapshots.stream()
+        .filter(shard -> shard.job() == job)
+        .forEach(shard -> missing.clear(shard.firstTask(), shard.endTask()));
+    records.values().forEach(included -> missing.andNot(included.getOrDefault(job, NO_TASKS)));
     return missing;
   }
 
@@ -130,8 +130,8 @@
     return Collections.unmodifiableList(removedSnapshots);
   }
 
-  /** The tasks in the batch's log records, by the record's sequence number and by shard. */
-  Map<Long, Map<TaskShard, BitSet>> records() {
+  /** The tasks in the batch's log records, by the record's sequence number and by job. */
+  Map<Long, Map<Job, BitSet>> records() {
     return Collections.unmodifiableMap(records);
   }
 
--- a/src/main/java/org/ploverspindle/progress/WriteBatchPlanner.java
+++ b/src/main/java/org/ploverspindle/progress/WriteBatchPlanner.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.BitSet;
 import java.util.Iterator;
-import java.util.Map;
 import java.util.function.Supplier;
 import org.ploverspindle.cluster.Job;
 import org.ploverspindle.net.Cbor;
@@ -111,7 +110,7 @@
       if (!record.carryOver(slots.slotSequence(sequence))) {
         continue;
       }
-      if (!appendPending(record, forClearing) || record.includedTasks().isEmpty()) {
+      if (!appendPending(record, forClearing) || record.isEmpty()) {
         return;
       }
       addLogRecord(record);
@@ -153,16 +152,20 @@
    * @param maxChanges the most changes that the transaction may then have
    */
   private void addSnapshots(long lastSequence, int maxChanges) {
-    for (Map<TaskShard, BitSet> shards : context.slots().latestStatusUpTo(lastSequence).values()) {
-      for (TaskShard shard : shards.keySet()) {
-        if (!transaction.hasRoomForPut(maxChanges)) {
-          return;
-        }
-        if (needsSnapshot(shard) && !context.isTooLarge(shard)) {
-          addSnapshot(shard);
-        }
-      }
-    }
+    context
+        .slots()
+        .latestStatuses()
+        .visitShardsUpTo(
+            lastSequence,
+            shard -> {
+              if (!transaction.hasRoomForPut(maxChanges)) {
+                return false;
+              }
+              if (needsSnapshot(shard) && !context.isTooLarge(shard)) {
+                addSnapshot(shard);
+              }
+              return true;
+            });
   }
 
   private boolean needsSnapshot(TaskShard shard) {
--- a/src/main/java/org/ploverspindle/progress/WriteOutcome.java
+++ b/src/main/java/org/ploverspindle/progress/WriteOutcome.java
@@ -37,9 +37,9 @@
   void committed(WriteBatch batch, long revision) {
     for (TaskShard shard : batch.snapshots()) {
       state.snapshots().setModRevision(shard, revision);
-      state.slots().releaseUpTo(shard, batch.lastCoveredSequence());
+      state.slots().latestStatuses().releaseUpTo(shard, batch.lastCoveredSequence());
     }
-    batch.records().forEach((sequence, shards) -> recordCommitted(sequence, shards, revision));
+    batch.records().forEach((sequence, tasks) -> recordCommitted(sequence, tasks, revision));
     List<Placement> placements = new ArrayList<>();
     for (TaskStatuses statuses : batch.statuses()) {
       state.durableTasks().markCommitted(statuses);
@@ -51,11 +51,11 @@
     listener.placementsRecorded(placements);
   }
 
-  private void recordCommitted(long sequence, Map<TaskShard, BitSet> shards, long revision) {
-    shards.forEach(
-        (shard, tasks) -> {
-          if (!shard.job().finished()) {
-            state.slots().statusRecorded(shard, tasks, sequence);
+  private void recordCommitted(long sequence, Map<Job, BitSet> tasksByJob, long revision) {
+    tasksByJob.forEach(
+        (job, tasks) -> {
+          if (!job.finished()) {
+            state.slots().latestStatuses().statusRecorded(job, tasks, sequence);
           }
         });
     state.slots().slotOverwritten(sequence);
--- a/src/main/java/org/ploverspindle/progress/WriteReadBack.java
+++ b/src/main/java/org/ploverspindle/progress/WriteReadBack.java
@@ -117,8 +117,8 @@
   }
 
   private static BitSet tasksOf(ProgressLogRecord.Delta delta) {
-    BitSet tasks = (BitSet) delta.completed().clone();
-    tasks.or(delta.cleared());
+    BitSet tasks = delta.completed().toBitSet();
+    delta.cleared().addTo(tasks);
     delta.placements().forEach(placement -> tasks.set(placement.task()));
     return tasks;
   }
--- a/src/main/java/org/ploverspindle/state/ProgressLogRecord.java
+++ b/src/main/java/org/ploverspindle/state/ProgressLogRecord.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,8 +40,8 @@
       String uid,
       int jobCompleted,
       int jobRunning,
-      BitSet completed,
-      BitSet cleared,
+      TaskRanges completed,
+      TaskRanges cleared,
       List<RecordedPlacement> placements) {}
 
   /**
@@ -121,8 +120,8 @@
       int groupsBefore = groups.size();
       StringBuilder line = new StringBuilder(delta.uid());
       line.append('|').append(delta.jobCompleted()).append('|').append(delta.jobRunning());
-      line.append('|').append(TaskRanges.format(delta.completed()));
-      line.append('|').append(TaskRanges.format(delta.cleared())).append('|');
+      line.append('|').append(delta.completed());
+      line.append('|').append(delta.cleared()).append('|');
       int addedBytes = appendPlacements(line, delta.placements());
       addedBytes += line.length() + STRING_OVERHEAD_BYTES;
       if (bytes + addedBytes > maxBytes) {
--- a/src/main/java/org/ploverspindle/state/SnapshotRecord.java
+++ b/src/main/java/org/ploverspindle/state/SnapshotRecord.java
@@ -85,7 +85,7 @@
     value.put("n", completed.cardinality());
     value.put("r", running);
     value.put("upto", lastCoveredSequence);
-    value.put("done", TaskRanges.format(completed));
+    value.put("done", TaskRanges.of(completed).toString());
     value.put("live", placementsText.toString());
     ArrayNode hosts = value.putArray("hosts");
     for (MachineInfo machine : machines.keySet()) {
@@ -100,7 +100,7 @@
       return Optional.empty();
     }
     try {
-      BitSet completed = TaskRanges.parse(value.path("done").asText());
+      BitSet completed = TaskRanges.parse(value.path("done").asText()).toBitSet();
       List<MachineInfo> machines = decodeMachines(value.path("hosts"));
       List<RecordedPlacement> placements = decodePlacements(value.path("live").asText(), machines);
       return Optional.of(
--- a/src/test/java/org/ploverspindle/progress/ProgressLogSlotsTest.java
+++ b/src/test/java/org/ploverspindle/progress/ProgressLogSlotsTest.java
@@ -4,10 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.JobSpecFixtures;
 import org.ploverspindle.cluster.Job;
@@ -22,6 +23,7 @@
  */
 class ProgressLogSlotsTest {
   private final ProgressLogSlots slots = new ProgressLogSlots();
+  private final LatestStatuses latest = slots.latestStatuses();
   private final Job job =
       new Job(
           JobSpecFixtures.batch("run-1", "c", "t", Priority.NORMAL, 20, 1, 0, 10, 0),
@@ -41,14 +43,22 @@
     return set;
   }
 
+  private List<TaskShard> shardsUpTo(long sequence) {
+    List<TaskShard> shards = new ArrayList<>();
+    latest.visitShardsUpTo(sequence, shards::add);
+    return shards;
+  }
+
   @Test
   void newerRecordTakesOverLatestStatus() {
-    slots.statusRecorded(shard, tasks(1, 2, 3), 5);
-    slots.statusRecorded(shard, tasks(2), 9);
-    assertEquals(Map.of(shard, tasks(1, 3)), slots.latestStatusIn(5));
-    assertEquals(Map.of(shard, tasks(2)), slots.latestStatusIn(9));
-    slots.statusRecorded(shard, tasks(1, 3), 9);
-    assertEquals(Set.of(9L), slots.latestStatusUpTo(100).keySet());
+    latest.statusRecorded(job, tasks(1, 2, 3), 5);
+    latest.statusRecorded(job, tasks(2), 9);
+    assertEquals(Map.of(job, tasks(1, 3)), latest.latestIn(5));
+    assertEquals(Map.of(job, tasks(2)), latest.latestIn(9));
+    latest.statusRecorded(job, tasks(1, 3), 9);
+    assertEquals(Map.of(), latest.latestIn(5));
+    assertEquals(List.of(), shardsUpTo(8));
+    assertEquals(List.of(shard), shardsUpTo(100));
   }
 
   /**
@@ -56,21 +66,21 @@
    */
   @Test
   void lateOlderRecordKeepsOnlyStatusesMissingFromNewerRecords() {
-    slots.statusRecorded(shard, tasks(1, 2), 9);
-    slots.statusRecorded(shard, tasks(2, 3), 7);
-    assertEquals(Map.of(shard, tasks(3)), slots.latestStatusIn(7));
-    assertEquals(Map.of(shard, tasks(1, 2)), slots.latestStatusIn(9));
+    latest.statusRecorded(job, tasks(1, 2), 9);
+    latest.statusRecorded(job, tasks(2, 3), 7);
+    assertEquals(Map.of(job, tasks(3)), latest.latestIn(7));
+    assertEquals(Map.of(job, tasks(1, 2)), latest.latestIn(9));
   }
 
   @Test
   void releaseUpToASequenceKeepsLaterRecords() {
-    slots.statusRecorded(shard, tasks(1), 5);
-    slots.statusRecorded(shard, tasks(2), 6);
-    slots.releaseUpTo(shard, 5);
-    assertEquals(Map.of(), slots.latestStatusIn(5));
-    assertEquals(Optional.of(job), slots.findJob("run-1"));
-    slots.releaseUpTo(shard, 6);
-    assertEquals(Optional.empty(), slots.findJob("run-1"));
+    latest.statusRecorded(job, tasks(1), 5);
+    latest.statusRecorded(job, tasks(2), 6);
+    latest.releaseUpTo(shard, 5);
+    assertEquals(Map.of(), latest.latestIn(5));
+    assertEquals(Optional.of(job), latest.findJob("run-1"));
+    latest.releaseUpTo(shard, 6);
+    assertEquals(Optional.empty(), latest.findJob("run-1"));
   }
 
   /** A status that is still needed must not be lost with the record that is overwritten. */
@@ -79,13 +89,13 @@
     long later = 5 + ProgressLogRecord.SLOTS;
     slots.markStored(5, 70);
     slots.addMention("run-1", 5);
-    slots.statusRecorded(shard, tasks(1), 5);
+    latest.statusRecorded(job, tasks(1), 5);
     slots.slotOverwritten(later);
-    assertEquals(Map.of(shard, tasks(1)), slots.latestStatusIn(5));
+    assertEquals(Map.of(job, tasks(1)), latest.latestIn(5));
     assertFalse(slots.isMentioned("run-1"));
     job.markCancelled();
     slots.slotOverwritten(later);
-    assertEquals(Map.of(), slots.latestStatusIn(5));
+    assertEquals(Map.of(), latest.latestIn(5));
   }
 
   @Test
--- a/src/test/java/org/ploverspindle/sim/SimStateStore.java
+++ b/src/test/java/org/ploverspindle/sim/SimStateStore.java
@@ -42,6 +42,7 @@
   private final Map<Long, Long> leaseEndsMs = new HashMap<>();
   private final Map<Long, Long> leaseTtlsMs = new HashMap<>();
   private final List<ChangedEntry> history = new ArrayList<>();
+  private int maxHistory = MAX_HISTORY;
   private long revision = 1;
   private long nextLease = 1;
   private boolean isOutage;
@@ -105,7 +106,7 @@
   void preload(String key, JsonNode value) {
     revision++;
     valuesByKey.put(key, new StoredValue(value.deepCopy(), revision, Optional.empty()));
-    history.add(new ChangedEntry(key, Optional.of(value.deepCopy()), revision));
+    addToHistory(new ChangedEntry(key, Optional.of(value.deepCopy()), revision));
   }
 
   /** Changes the limits from now on, without notice to the controllers. */
@@ -116,6 +117,24 @@
     changeLimiter.setRatePerSecond(newLimits.changesPerS());
   }
 
+  /** Sets how many changes are kept, for long runs under a small heap. */
+  void setMaxHistory(int changes) {
+    maxHistory = changes;
+  }
+
+  private void addToHistory(ChangedEntry change) {
+    history.add(change);
+    if (history.size() > 2 * maxHistory) {
+      history.subList(0, history.size() - maxHistory - 1).clear();
+    }
+  }
+
+  /** The mod revision of the key; 0 if it does not exist. */
+  long modRevision(String key) {
+    StoredValue stored = valuesByKey.get(key);
+    return stored == null ? 0 : stored.modRevision();
+  }
+
   /** Whether a request is served; otherwise it gets 503 (outage) or 429 (above the rate limit). */
   boolean admitsRequest() {
     return !isOutage && requestLimiter.tryAcquire(1);
@@ -173,7 +192,7 @@
 
   private void remove(String key) {
     if (valuesByKey.remove(key) != null) {
-      history.add(new ChangedEntry(key, Optional.empty(), revision));
+      addToHistory(new ChangedEntry(key, Optional.empty(), revision));
     }
   }
 
@@ -250,7 +269,7 @@
       }
       if (change instanceof Change.Put put) {
         valuesByKey.put(put.key(), new StoredValue(put.value().deepCopy(), revision, put.lease()));
-        history.add(new ChangedEntry(put.key(), Optional.of(put.value().deepCopy()), revision));
+        addToHistory(new ChangedEntry(put.key(), Optional.of(put.value().deepCopy()), revision));
       } else {
         remove(change.key());
       }
@@ -287,8 +306,8 @@
   }
 
   ChangesResult readChanges(String prefix, long afterRevision) {
-    if (history.size() > MAX_HISTORY
-        && history.get(history.size() - MAX_HISTORY).modRevision() > afterRevision) {
+    if (history.size() > maxHistory
+        && history.get(history.size() - maxHistory).modRevision() > afterRevision) {
       return new ChangesResult.TooOld();
     }
     List<ChangedEntry> newer = new ArrayList<>();
--- a/src/test/java/org/ploverspindle/state/ProgressLogRecordTest.java
+++ b/src/test/java/org/ploverspindle/state/ProgressLogRecordTest.java
@@ -47,7 +47,12 @@
       }
     }
     return new Delta(
-        uid, completed.cardinality(), placements.size(), completed, cleared, placements);
+        uid,
+        completed.cardinality(),
+        placements.size(),
+        TaskRanges.of(completed),
+        TaskRanges.of(cleared),
+        placements);
   }
 
   @Test
@@ -91,7 +96,7 @@
           placements.add(
               new RecordedPlacement(99_000 + task, (1L << 60) + task * 7L, machine, 1_000 + task));
         }
-        BitSet none = new BitSet();
+        TaskRanges none = TaskRanges.of(new BitSet());
         assertTrue(
             builder.add(new Delta("run-999999999", 1, 1, none, none, placements)), kib + " KiB");
         while (builder.add(delta(random, "run-" + random.nextInt(100), 1 + random.nextInt(8)))) {
