--- a/src/main/java/org/ploverspindle/cli/ControllerProcess.java
+++ b/src/main/java/org/ploverspindle/cli/ControllerProcess.java
@@ -32,7 +32,7 @@
   private static final int POOLED_BUFFERS = 64;
   private static final int BUFFERS_PER_THREAD = 2;
 
-  private final EventLoop eventLoop = new EventLoop();
+  private final EventLoop eventLoop = newEventLoop();
   private final XnioWorker xnioWorker;
   private final Controller controller;
   private final UserApi userApi;
@@ -79,6 +79,11 @@
             controller::isReady);
   }
 
+  /** Creates an event loop whose errors end the process, so that the platform restarts it. */
+  static EventLoop newEventLoop() {
+    return new EventLoop(ProcessTermination::haltAfter);
+  }
+
   /** Creates the XNIO worker, whose only I/O thread owns all sockets. */
   private static XnioWorker createXnioWorker() throws IOException {
     return Xnio.getInstance()
--- a/src/main/java/org/ploverspindle/cli/Main.java
+++ b/src/main/java/org/ploverspindle/cli/Main.java
@@ -31,7 +31,8 @@
     exitCodeList = {
       "0:success",
       "1:the command failed; the error message says why",
-      "2:the command line, the settings or the policy is invalid"
+      "2:the command line, the settings or the policy is invalid",
+      "3:the running controller ended after an error, such as one for a full heap"
     },
     subcommands = {
       CheckCommand.class,
@@ -50,6 +51,9 @@
   /** Exit code if the command line, the settings or the policy are invalid. */
   static final int INVALID_INPUT = 2;
 
+  /** Exit code of a running controller that ended after an error; the JVM uses it as well. */
+  static final int FATAL_ERROR = 3;
+
   /**
    * Returned in place of an exit code after the controller has started: the process must not exit,
    * and the controller's threads keep it alive.
--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -126,6 +126,7 @@
 
   private Readiness newReadiness(StateReachability stateReachability) {
     return new Readiness(
+        scheduler,
         replica,
         machineTypes,
         election,
--- a/src/main/java/org/ploverspindle/controller/Readiness.java
+++ b/src/main/java/org/ploverspindle/controller/Readiness.java
@@ -1,6 +1,7 @@
 package org.ploverspindle.controller;
 
 import java.util.function.BooleanSupplier;
+import org.ploverspindle.eventloop.Scheduler;
 import org.ploverspindle.leadership.Election;
 import org.ploverspindle.state.Replica;
 import org.slf4j.Logger;
@@ -13,6 +14,13 @@
 final class Readiness {
   private static final Logger LOG = LoggerFactory.getLogger(Readiness.class);
 
+  /**
+   * How old the last update may be, in milliseconds, for this controller to be ready. After a
+   * longer time its event loop answers no request either.
+   */
+  static final long MAX_UPDATE_AGE_MS = 10_000;
+
+  private final Scheduler scheduler;
   private final Replica replica;
   private final MachineTypeLoader machineTypes;
   private final Election election;
@@ -21,18 +29,21 @@
   private final Runnable startElection;
   private boolean electionStarted;
   private volatile boolean ready;
+  private volatile long updatedMs;
 
   /**
    * @param isFailingToWrite whether this controller leads and none of its writes is executed
    * @param startElection makes this controller take part in the election; is called once
    */
   Readiness(
+      Scheduler scheduler,
       Replica replica,
       MachineTypeLoader machineTypes,
       Election election,
       StateReachability stateReachability,
       BooleanSupplier isFailingToWrite,
       Runnable startElection) {
+    this.scheduler = scheduler;
     this.replica = replica;
     this.machineTypes = machineTypes;
     this.election = election;
@@ -41,9 +52,13 @@
     this.startElection = startElection;
   }
 
-  /** Returns whether users should be sent to this controller. May be called on any thread. */
+  /**
+   * Returns whether users should be sent to this controller: the last update decided so, and it was
+   * not long ago. May be called on any thread, so that a controller whose event loop is blocked is
+   * not ready.
+   */
   boolean isReady() {
-    return ready;
+    return ready && scheduler.nowMs() - updatedMs <= MAX_UPDATE_AGE_MS;
   }
 
   /**
@@ -53,6 +68,7 @@
    * reach the state service and other controllers can. If no controller can, it stays ready.
    */
   void update() {
+    updatedMs = scheduler.nowMs();
     machineTypes.loadFromReplica();
     boolean writesFail = isFailingToWrite.getAsBoolean();
     stateReachability.probeIfStale(writesFail);
--- a/src/main/java/org/ploverspindle/eventloop/EventLoop.java
+++ b/src/main/java/org/ploverspindle/eventloop/EventLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,8 +16,9 @@
  * The scheduler of a running controller: one thread that runs heartbeats first, then due timers,
  * then the other work in the order of its priority.
  *
- * <p>If work throws a runtime exception, the exception is logged and the loop continues. Work that
- * is still waiting when the loop is closed is not run.
+ * <p>If work throws a runtime exception, the exception is logged and the loop continues. An error,
+ * such as one for a full heap, ends the loop, since the state of the work that it interrupted can't
+ * be trusted. Work that is still waiting when the loop is closed is not run.
  */
 public final class EventLoop implements Scheduler, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
@@ -41,15 +43,29 @@
   private final Map<EventPriority, Queue<Runnable>> queues = new EnumMap<>(EventPriority.class);
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final Thread thread;
+  private final Consumer<Error> errorHandler;
   private long nextTimerSequence;
   private boolean closed;
   private boolean threadWaiting;
 
+  /** Creates a loop that leaves an error to the thread's handler of uncaught exceptions. */
   public EventLoop() {
+    this(
+        error -> {
+          throw error;
+        });
+  }
+
+  /**
+   * @param errorHandler called on the loop's thread when an error has ended the loop. Since nothing
+   *     runs on the loop any more, it should end the process.
+   */
+  public EventLoop(Consumer<Error> errorHandler) {
+    this.errorHandler = errorHandler;
     for (EventPriority priority : EventPriority.values()) {
       queues.put(priority, new ArrayDeque<>());
     }
-    thread = new Thread(this::run, "decisions");
+    thread = new Thread(this::runUntilClosed, "decisions");
   }
 
   /** Starts the thread of the event loop. */
@@ -119,6 +135,14 @@
     }
   }
 
+  private void runUntilClosed() {
+    try {
+      run();
+    } catch (Error e) {
+      errorHandler.accept(e);
+    }
+  }
+
   private void run() {
     for (Runnable work = awaitNext(); work != null; work = awaitNext()) {
       try {
--- a/src/test/java/org/ploverspindle/eventloop/EventLoopTest.java
+++ b/src/test/java/org/ploverspindle/eventloop/EventLoopTest.java
@@ -1,13 +1,17 @@
 package org.ploverspindle.eventloop;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 class EventLoopTest {
@@ -39,4 +43,28 @@
     sorted.sort(null);
     assertEquals(sorted, executed);
   }
+
+  /** Guards against a loop that ends on an error while nobody is told, as when the heap is full. */
+  @Test
+  void errorEndsTheLoopAndIsPassedToTheHandler() throws InterruptedException {
+    CompletableFuture<Error> handled = new CompletableFuture<>();
+    AtomicBoolean ranAfterError = new AtomicBoolean();
+    Error error = new OutOfMemoryError("thrown by the test");
+    try (EventLoop loop = new EventLoop(handled::complete)) {
+      loop.execute(
+          EventPriority.DECISION,
+          () -> {
+            throw new IllegalStateException("thrown by the test; the loop continues");
+          });
+      loop.execute(
+          EventPriority.DECISION,
+          () -> {
+            throw error;
+          });
+      loop.execute(EventPriority.DECISION, () -> ranAfterError.set(true));
+      loop.start();
+      assertSame(error, handled.orTimeout(30, TimeUnit.SECONDS).join());
+    }
+    assertFalse(ranAfterError.get(), "work ran after an error");
+  }
 }
--- a/src/test/java/org/ploverspindle/sim/CutControllerTest.java
+++ b/src/test/java/org/ploverspindle/sim/CutControllerTest.java
@@ -145,6 +145,20 @@
     assertAllJobsComplete(cluster);
   }
 
+  /**
+   * Guards against a controller that the load balancer keeps in use although its event loop is
+   * blocked, so that it answers nothing.
+   */
+  @Test
+  void controllerWhoseEventLoopIsBlockedIsNotReady() {
+    SimulatedCluster cluster = clusterWithJobs(6);
+    cluster.clock.after(40_000, () -> cluster.freeze(1, 20_000));
+    cluster.clock.after(41_000, () -> assertTrue(cluster.isReady(1), "not ready after 1 s"));
+    cluster.clock.after(52_000, () -> assertFalse(cluster.isReady(1), "ready after 12 s"));
+    cluster.clock.after(62_000, () -> assertTrue(cluster.isReady(1), "not ready again"));
+    assertAllJobsComplete(cluster);
+  }
+
   /**
    * The leader or controller 1 pauses for 0.2 to 60 s, several times, also both at once, while jobs
    * are cancelled. A paused controller must not act on stale state afterwards.
