Peer connections that nothing ends no longer keep out new ones

Cause: PeerServer keeps an accepted connection until it sees its end, which a process that ends behind a cut never shows, and closed each new one from 2 * (other controllers) + 2 on, for good. The others heard nothing of this controller, so that its probes were lost.

Change: at the limit the connection that has been silent for the longest time is closed and the new one accepted.

Test: PeerServerTest.connectionsThatNeverEndDoNotKeepOutNewOnes; without the change its first message does not arrive within 20 s.

--- a/src/main/java/org/ploverspindle/peers/PeerServer.java
+++ b/src/main/java/org/ploverspindle/peers/PeerServer.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,7 +41,10 @@
   private final int maxConnections;
   private final Consumer<PeerMessage> listener;
   private final Map<String, PeerClient> clients = new LinkedHashMap<>();
-  private final Set<StreamConnection> acceptedConnections = new HashSet<>();
+
+  /** The accepted connections, the one that has been silent for the longest time first. */
+  private final Set<StreamConnection> acceptedConnections = new LinkedHashSet<>();
+
   private Optional<AcceptingChannel<StreamConnection>> listeningChannel = Optional.empty();
 
   /**
@@ -124,8 +127,7 @@
         return;
       }
       if (acceptedConnections.size() >= maxConnections) {
-        IoUtils.safeClose(connection);
-        return;
+        closeMostSilentConnection();
       }
       acceptedConnections.add(connection);
       connection.setCloseListener(closed -> acceptedConnections.remove(connection));
@@ -137,6 +139,25 @@
     }
   }
 
+  /**
+   * Makes room for a new connection. A peer that ends behind a cut leaves its connection open for
+   * good, so a new connection is more likely to be in use than the one that has been silent for the
+   * longest time. A peer whose connection is closed in error opens another one with its next
+   * message.
+   */
+  private void closeMostSilentConnection() {
+    StreamConnection mostSilent = acceptedConnections.iterator().next();
+    LOG.debug("peer connection closed: reason=\"silent, and a new one was opened\"");
+    acceptedConnections.remove(mostSilent);
+    IoUtils.safeClose(mostSilent);
+  }
+
+  private void markActive(StreamConnection connection) {
+    if (acceptedConnections.remove(connection)) {
+      acceptedConnections.add(connection);
+    }
+  }
+
   private void read(
       StreamConnection connection, ConduitStreamSourceChannel source, ByteBuffer received) {
     try {
@@ -149,6 +170,7 @@
           IoUtils.safeClose(connection);
           return;
         }
+        markActive(connection);
         received.flip();
         handleFrames(received);
         received.compact();
--- a/src/test/java/org/ploverspindle/peers/PeerServerTest.java
+++ b/src/test/java/org/ploverspindle/peers/PeerServerTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -21,7 +22,8 @@
 
 /**
  * Peer servers over real sockets on loopback. Guards against a peer that refuses connections, or
- * sends malformed bytes, disturbing the messages between the other controllers.
+ * sends malformed bytes, disturbing the messages between the other controllers, and against a
+ * controller that refuses its peers for good after some of them ended behind a cut.
  */
 class PeerServerTest {
   private final EventLoop eventLoop = new EventLoop();
@@ -35,7 +37,8 @@
     worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     eventLoop.start();
     Address anyPort = new Address("127.0.0.1", 0);
-    receiver = new PeerServer(eventLoop, worker, anyPort, List.of(), received::add);
+    Settings.OtherController peer = new Settings.OtherController("n0", "a", anyPort);
+    receiver = new PeerServer(eventLoop, worker, anyPort, List.of(peer), received::add);
     receiver.open();
     Settings.OtherController listening =
         new Settings.OtherController("n1", "a", new Address("127.0.0.1", receiver.port()));
@@ -75,4 +78,25 @@
     sender.send("n1", message);
     assertEquals(message, received.poll(20, TimeUnit.SECONDS));
   }
+
+  /** Guards against connections of crashed peers, which nothing ends, that use up the limit. */
+  @Test
+  void connectionsThatNeverEndDoNotKeepOutNewOnes() throws Exception {
+    List<Socket> leftByCrashedPeers = new ArrayList<>();
+    try {
+      for (int i = 0; i < 8; i++) {
+        leftByCrashedPeers.add(new Socket("127.0.0.1", receiver.port()));
+      }
+      for (int i = 0; i < 3; i++) {
+        PeerMessage message = new PeerMessage.Resigned("n0", i);
+        sender.send("n1", message);
+        assertEquals(message, received.poll(20, TimeUnit.SECONDS));
+        leftByCrashedPeers.add(new Socket("127.0.0.1", receiver.port()));
+      }
+    } finally {
+      for (Socket socket : leftByCrashedPeers) {
+        socket.close();
+      }
+    }
+  }
 }
