Tests: fixtures that stood twice, and the readiness faults in fewer lines

One fixture for a machine with 16 cores (AdmissionOrderTest, PreemptionTest), one conversion of recorded statuses (LowerLimitsScenario, MixedVersionFailoverTest), one check each in FleetSizeTest and CancellationRaceTest; each combination of ReadinessFaultsTest on one line.

--- a/src/test/java/org/ploverspindle/placement/AdmissionOrderTest.java
+++ b/src/test/java/org/ploverspindle/placement/AdmissionOrderTest.java
@@ -1,27 +1,17 @@
 package org.ploverspindle.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.ploverspindle.placement.SixteenCoreMachine.NOW;
+import static org.ploverspindle.placement.SixteenCoreMachine.fleet;
+import static org.ploverspindle.placement.SixteenCoreMachine.job;
 
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
-import org.ploverspindle.JobFixtures;
-import org.ploverspindle.JobSpecFixtures;
-import org.ploverspindle.NoOpHeartbeatListener;
-import org.ploverspindle.cluster.Heartbeat;
 import org.ploverspindle.cluster.Job;
-import org.ploverspindle.cluster.MachineRegistry;
-import org.ploverspindle.cluster.TeamUsage;
-import org.ploverspindle.model.Catalogue;
-import org.ploverspindle.model.JobSpec;
-import org.ploverspindle.model.MachineType;
 import org.ploverspindle.model.Priority;
-import org.ploverspindle.model.Resources;
-import org.ploverspindle.model.SafetyTiming;
-import org.ploverspindle.model.Term;
-import org.ploverspindle.settings.Settings;
 
 /**
  * Guards against an order of jobs in which a large job makes many others miss their deadlines when
@@ -29,33 +19,6 @@
  * ones.
  */
 class AdmissionOrderTest {
-  private static final long NOW = 10_000;
-  private static final Term TERM = new Term(7, 1, 0);
-
-  private static Job job(String uid, Priority priority, int tasks, double runS, double deadlineS) {
-    JobSpec spec = JobSpecFixtures.batch(uid, "c", "red", priority, tasks, 4, 1, runS, deadlineS);
-    return JobFixtures.job(spec, 80);
-  }
-
-  private static final TeamUsage TEAMS =
-      new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
-
-  /** A fleet of one empty machine with 16 cores, which has accepted the leader's fencing token. */
-  private static MachineRegistry fleet() {
-    Catalogue catalogue = new Catalogue(List.of("a"));
-    catalogue.update(
-        List.of(
-            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
-    MachineRegistry fleet =
-        new MachineRegistry(
-            catalogue, TEAMS, SafetyTiming.of(new Settings.WorkerLimits(3, 14, 39), 1), TERM);
-    NoOpHeartbeatListener.heartbeatHandler(fleet, TERM)
-        .handle(
-            new Heartbeat("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()),
-            NOW);
-    return fleet;
-  }
-
   private static List<String> order(Job... byLatestStart) {
     return order(Map.of(), byLatestStart);
   }
--- a/src/test/java/org/ploverspindle/placement/PreemptionTest.java
+++ b/src/test/java/org/ploverspindle/placement/PreemptionTest.java
@@ -2,32 +2,25 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.ploverspindle.placement.SixteenCoreMachine.NOW;
+import static org.ploverspindle.placement.SixteenCoreMachine.TEAMS;
+import static org.ploverspindle.placement.SixteenCoreMachine.fleet;
+import static org.ploverspindle.placement.SixteenCoreMachine.job;
+import static org.ploverspindle.placement.SixteenCoreMachine.receiveHeartbeat;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.ploverspindle.JobFixtures;
-import org.ploverspindle.JobSpecFixtures;
-import org.ploverspindle.NoOpHeartbeatListener;
 import org.ploverspindle.cluster.Heartbeat;
-import org.ploverspindle.cluster.HeartbeatHandler;
 import org.ploverspindle.cluster.Job;
 import org.ploverspindle.cluster.Machine;
 import org.ploverspindle.cluster.MachineRegistry;
 import org.ploverspindle.cluster.Placement;
-import org.ploverspindle.cluster.TeamUsage;
-import org.ploverspindle.model.Catalogue;
-import org.ploverspindle.model.JobSpec;
-import org.ploverspindle.model.MachineType;
 import org.ploverspindle.model.Priority;
-import org.ploverspindle.model.Resources;
-import org.ploverspindle.model.SafetyTiming;
-import org.ploverspindle.model.Term;
 import org.ploverspindle.settings.Settings;
 
 /**
@@ -36,37 +29,6 @@
  * search over all machines for every task.
  */
 class PreemptionTest {
-  private static final long NOW = 10_000;
-  private static final Term TERM = new Term(7, 1, 0);
-
-  private static Job job(String uid, Priority priority, int tasks, double runS, double deadlineS) {
-    JobSpec spec = JobSpecFixtures.batch(uid, "c", "red", priority, tasks, 4, 1, runS, deadlineS);
-    return JobFixtures.job(spec, 80);
-  }
-
-  private static final TeamUsage TEAMS =
-      new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
-
-  /** A fleet of one empty machine with 16 cores, which has accepted the leader's fencing token. */
-  private static MachineRegistry fleet() {
-    Catalogue catalogue = new Catalogue(List.of("a"));
-    catalogue.update(
-        List.of(
-            new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
-    MachineRegistry fleet =
-        new MachineRegistry(
-            catalogue, TEAMS, SafetyTiming.of(new Settings.WorkerLimits(3, 14, 39), 1), TERM);
-    heartbeatHandler(fleet)
-        .handle(
-            new Heartbeat("i-1", "", "t", "a", true, 1, 1, 7, OptionalDouble.empty(), List.of()),
-            NOW);
-    return fleet;
-  }
-
-  private static HeartbeatHandler heartbeatHandler(MachineRegistry fleet) {
-    return NoOpHeartbeatListener.heartbeatHandler(fleet, TERM);
-  }
-
   /**
    * Fills the machine with four running tasks of the priority, then asks for room for a job of high
    * priority with two tasks. Returns how many tasks are stopped.
@@ -89,9 +51,7 @@
           new Heartbeat.TaskStatus(
               "run-1", task, task + 1, Heartbeat.Phase.RUNNING, Heartbeat.ExitReason.NONE, false));
     }
-    heartbeatHandler(fleet)
-        .handle(
-            new Heartbeat("i-1", "", "t", "a", true, 1, 2, 7, OptionalDouble.empty(), tasks), NOW);
+    receiveHeartbeat(fleet, 2, tasks);
     Job high = job("run-2", Priority.HIGH, 2, 10, 60);
     high.compatibleTypes().set(0);
     return new Preemption(fleet, TEAMS, new RuntimeEstimates(), objectives, 1_000_000)
--- a/src/test/java/org/ploverspindle/sim/CancellationRaceTest.java
+++ b/src/test/java/org/ploverspindle/sim/CancellationRaceTest.java
@@ -100,12 +100,7 @@
     cluster.clock.after(
         FIRST_JOB_MS, () -> cluster.network.setMaxDelay(SimulatedCluster.STATE, 300));
     cluster.clock.after(80_000, () -> cluster.network.setMaxDelay(SimulatedCluster.STATE, 0));
-    submitJobs(FIRST_JOB_MS, 80, 600, Priority.NORMAL, 2, 5);
-    runAndCheckRules(80_000, 60_000);
-    long ended = submitted.stream().filter(uid -> cluster.checker.isDone(uid)).count();
-    assertAtLeast("jobs done", 20, cluster.checker.jobsDone());
-    assertAtLeast(
-        "jobs cancelled although all their tasks had ended", 5, ended - cluster.checker.jobsDone());
+    runJobsThatAreCancelledAtCompletion();
   }
 
   @ParameterizedTest
@@ -114,6 +109,10 @@
     startCluster(seed, 14);
     cluster.setCancelAtCompletionShare(0.6);
     cluster.setRequestBursts(true);
+    runJobsThatAreCancelledAtCompletion();
+  }
+
+  private void runJobsThatAreCancelledAtCompletion() {
     submitJobs(FIRST_JOB_MS, 80, 600, Priority.NORMAL, 2, 5);
     runAndCheckRules(80_000, 60_000);
     long ended = submitted.stream().filter(uid -> cluster.checker.isDone(uid)).count();
--- a/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
+++ b/src/test/java/org/ploverspindle/sim/FleetSizeTest.java
@@ -99,13 +99,7 @@
           cluster.network.dropResponsesFrom("n" + leader, true);
           cluster.clock.after(50_000, () -> cluster.network.dropResponsesFrom("n" + leader, false));
         });
-    cluster.clock.runUntil(100_000);
-    assertTrue(
-        cluster.cloud.machineCount() >= machines[0],
-        "no machine was terminated because responses were lost");
-    cluster.clock.runUntil(400_000);
-    assertEquals(List.of(), cluster.checker.violations());
-    assertEquals(80, cluster.checker.starts(), "each task started once: no worker lease expired");
+    assertFleetIsKept(cluster, machines, "responses were lost");
   }
 
   @ParameterizedTest
@@ -119,10 +113,14 @@
           machines[0] = cluster.cloud.workers().size();
           cluster.freeze(requireLeader(cluster), 32_500);
         });
+    assertFleetIsKept(cluster, machines, "timers fired late");
+  }
+
+  /** Runs the day and checks that no machine was terminated and no worker lease expired. */
+  private static void assertFleetIsKept(SimulatedCluster cluster, int[] machines, String cause) {
     cluster.clock.runUntil(100_000);
     assertTrue(
-        cluster.cloud.machineCount() >= machines[0],
-        "no machine was terminated by timers that fired late");
+        cluster.cloud.machineCount() >= machines[0], "machines were terminated because " + cause);
     cluster.clock.runUntil(400_000);
     assertEquals(List.of(), cluster.checker.violations());
     assertEquals(80, cluster.checker.starts(), "each task started once: no worker lease expired");
--- a/src/test/java/org/ploverspindle/sim/LowerLimitsScenario.java
+++ b/src/test/java/org/ploverspindle/sim/LowerLimitsScenario.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -236,7 +235,7 @@
     private void restore(StoredJob stored, String[] expected, RecordedProgress recorded) {
       Job job = addJob(stored);
       RecordedProgress.RecordedStatuses read = recorded.statusesOf(job);
-      assertArrayEquals(expected, statusTexts(stored, read), stored.toString());
+      assertArrayEquals(expected, RecordedStatusTexts.of(stored, read), stored.toString());
       read.completed().stream().forEach(job::markCompleted);
       for (SnapshotRecord.RecordedPlacement placement : read.placements().values()) {
         job.addPlacement(
@@ -263,19 +262,6 @@
       return job;
     }
 
-    private String[] statusTexts(StoredJob stored, RecordedProgress.RecordedStatuses read) {
-      String[] texts = new String[stored.tasks()];
-      Arrays.fill(texts, ReferenceProgressRecords.WAITING);
-      read.placements()
-          .forEach(
-              (task, placement) ->
-                  texts[task] =
-                      ReferenceProgressRecords.liveStatus(
-                          placement.attempt(), placement.machine().id(), placement.workerEpoch()));
-      read.completed().stream().forEach(task -> texts[task] = ReferenceProgressRecords.DONE);
-      return texts;
-    }
-
     private Machine machine(String id) {
       return machinesById.computeIfAbsent(
           id, machineId -> new Machine(machineId, 0, 0, true, Resources.offered(16, 0, 64), 0, 0));
--- a/src/test/java/org/ploverspindle/sim/MixedVersionFailoverTest.java
+++ b/src/test/java/org/ploverspindle/sim/MixedVersionFailoverTest.java
@@ -94,7 +94,8 @@
           (history, expected) -> {
             Job job = addJob(history.job.uid());
             RecordedProgress.RecordedStatuses read = recorded.statusesOf(job);
-            assertArrayEquals(expected, statusTexts(history.job, read), history.job.uid());
+            assertArrayEquals(
+                expected, RecordedStatusTexts.of(history.job, read), history.job.uid());
             read.completed().stream().forEach(job::markCompleted);
             read.placements()
                 .forEach(
@@ -124,19 +125,6 @@
       return job;
     }
 
-    private String[] statusTexts(StoredJob job, RecordedProgress.RecordedStatuses read) {
-      String[] texts = new String[job.tasks()];
-      Arrays.fill(texts, ReferenceProgressRecords.WAITING);
-      read.placements()
-          .forEach(
-              (task, placement) ->
-                  texts[task] =
-                      ReferenceProgressRecords.liveStatus(
-                          placement.attempt(), placement.machine().id(), placement.workerEpoch()));
-      read.completed().stream().forEach(task -> texts[task] = ReferenceProgressRecords.DONE);
-      return texts;
-    }
-
     private Machine machine(String id) {
       return machinesById.computeIfAbsent(
           id, machineId -> new Machine(machineId, 0, 0, true, Resources.offered(16, 0, 64), 0, 0));
--- a/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
+++ b/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
@@ -17,7 +17,11 @@
   private static final long FAULT_MS = 40_000;
   private static final long MAX_GAP_MS = 90_000;
   private static final long MAX_GAP_AFTER_FAULTS_MS = 75_000;
-  private static final int GONE_MS = 3_000_000;
+
+  /** Stands for the controller that leads when a fault begins. */
+  private static final int LEADER = -1;
+
+  private static final int FOR_GOOD_MS = 3_000_000;
 
   /** What users and the load balancer must see while the faults last. */
   private enum Target {
@@ -32,103 +36,29 @@
   }
 
   private enum Combinations implements FaultScenario.Combination {
-    LEADER_CUT(3, Target.USERS_ANSWERED, day -> day.cut(day.leader(), FAULT_MS, 98)),
-    LEADER_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(day.leader())),
-    FIRST_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(List.of(0))),
-    LAST_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(List.of(2))),
-    TWO_OF_FIVE_CUT_TOGETHER(5, Target.USERS_ANSWERED, day -> day.cutRepeatedly(List.of(0, 1))),
-    LAST_TWO_OF_FIVE_CUT_TOGETHER(
-        5, Target.USERS_ANSWERED, day -> day.cutRepeatedly(List.of(3, 4))),
-    TWO_OF_THREE_CUT_TOGETHER(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(List.of(0, 1))),
-    REQUESTS_OF_FIRST_LOST(
-        3, Target.USERS_ANSWERED, day -> day.oneWay(day.cluster.network::dropRequestsFrom)),
-    NOTHING_REACHES_FIRST(
-        3, Target.USERS_ANSWERED, day -> day.oneWay(day.cluster.network::dropInbound)),
-    LEADER_CUT_AND_PEER_PAUSED(
-        3,
-        Target.USERS_ANSWERED,
-        day -> {
-          day.cut(day.leader(), FAULT_MS, 300);
-          day.scenario.at(FAULT_MS + 30_000, () -> day.cluster.freeze(day.other(), 25_000));
-        }),
-    LEADER_CUT_AND_LEADER_CHANGES(
-        3,
-        Target.USERS_ANSWERED,
-        day -> {
-          day.cut(day.leader(), FAULT_MS, 300);
-          day.scenario.at(FAULT_MS + 30_000, () -> day.cluster.crash(day.other(), 4_000));
-          day.scenario.at(FAULT_MS + 100_000, () -> day.cluster.crash(day.other(), 300));
-        }),
-    LEADER_CUT_AND_PEER_GONE(
-        3,
-        Target.USERS_ANSWERED,
-        day -> {
-          day.cut(day.leader(), FAULT_MS, 300);
-          day.scenario.at(FAULT_MS + 20_000, () -> day.cluster.crash(day.other(), GONE_MS));
-        }),
-    PEERS_LOST_LONG_BEFORE_STATE(
-        3,
-        Target.USERS_ANSWERED,
-        day -> {
-          day.scenario.at(FAULT_MS, () -> day.separate(List.of(0), true));
-          day.scenario.at(FAULT_MS + 200_000, () -> day.loseState(0, true));
-          day.end(FAULT_MS + 400_000, () -> day.heal(List.of(0)));
-        }),
-    LEADER_CUT_THEN_OUTAGE(
-        3,
-        Target.RECOVERS,
-        day -> {
-          day.cut(day.leader(), FAULT_MS, 200);
-          day.scenario.at(FAULT_MS + 100_000, () -> day.cluster.state.setOutage(true));
-          day.end(FAULT_MS + 220_000, () -> day.cluster.state.setOutage(false));
-        }),
-    OUTAGE(
-        3,
-        Target.ALL_READY,
-        day -> {
-          day.scenario.at(FAULT_MS, () -> day.cluster.state.setOutage(true));
-          day.end(FAULT_MS + 120_000, () -> day.cluster.state.setOutage(false));
-        }),
-    OUTAGE_AND_PEER_RESTARTS(
-        3,
-        Target.NEVER_EMPTY,
-        day -> {
-          day.outagesFrom(FAULT_MS, 1, 120_000);
-          day.scenario.at(FAULT_MS + 30_000, () -> day.cluster.crash(0, 4_000));
-          day.scenario.at(FAULT_MS + 70_000, () -> day.cluster.crash(1, 300));
-        }),
-    OUTAGE_AND_PEER_PAUSED(
-        3,
-        Target.RECOVERS,
-        day -> {
-          day.outagesFrom(FAULT_MS, 2, 90_000);
-          day.scenario.at(FAULT_MS + 10_000, () -> day.cluster.freeze(0, 60_000));
-          day.scenario.at(FAULT_MS + 130_000, () -> day.cluster.freeze(1, 60_000));
-        }),
-    OUTAGE_AND_SILENCE_AGAIN_AND_AGAIN(
-        3, Target.NEVER_EMPTY, day -> day.outageAndSilenceRepeatedly(7, 50_000)),
-    OUTAGE_AND_SILENCE_OF_FIVE(
-        5, Target.NEVER_EMPTY, day -> day.outageAndSilenceRepeatedly(9, 12_000)),
-    OUTAGE_AND_SILENCE_OF_TWO(
-        2, Target.NEVER_EMPTY, day -> day.outageAndSilenceRepeatedly(7, 80_000)),
-    OUTAGE_AND_SILENCE_WITH_LONG_OUTAGES(
-        3, Target.NEVER_EMPTY, day -> day.outageAndSilenceRepeatedly(3, 600_000)),
-    SINGLE_CONTROLLER_LEFT_AND_OUTAGES(
-        3,
-        Target.NEVER_EMPTY,
-        day -> {
-          day.scenario.at(20_000, () -> day.cluster.crash(0, GONE_MS));
-          day.scenario.at(20_000, () -> day.cluster.crash(1, GONE_MS));
-          day.outagesFrom(FAULT_MS + 320_000, 6, 40_000);
-        }),
-    SINGLE_CONTROLLER_JUST_LEFT_AND_OUTAGES(
-        3,
-        Target.RECOVERS,
-        day -> {
-          day.scenario.at(FAULT_MS - 10_000, () -> day.cluster.crash(0, GONE_MS));
-          day.scenario.at(FAULT_MS - 10_000, () -> day.cluster.crash(1, GONE_MS));
-          day.outagesFrom(FAULT_MS, 6, 40_000);
-        });
+    LEADER_CUT(3, Target.USERS_ANSWERED, day -> day.cutLeader(98)),
+    LEADER_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(LEADER)),
+    FIRST_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(0)),
+    LAST_CUT_AGAIN_AND_AGAIN(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(2)),
+    TWO_OF_FIVE_CUT_TOGETHER(5, Target.USERS_ANSWERED, day -> day.cutRepeatedly(0, 1)),
+    LAST_TWO_OF_FIVE_CUT_TOGETHER(5, Target.USERS_ANSWERED, day -> day.cutRepeatedly(3, 4)),
+    TWO_OF_THREE_CUT_TOGETHER(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(0, 1)),
+    REQUESTS_OF_FIRST_LOST(3, Target.USERS_ANSWERED, Day::loseRequestsOfFirst),
+    NOTHING_REACHES_FIRST(3, Target.USERS_ANSWERED, Day::loseMessagesToFirst),
+    LEADER_CUT_AND_PEER_PAUSED(3, Target.USERS_ANSWERED, Day::cutLeaderAndPauseAnother),
+    LEADER_CUT_AND_LEADER_CHANGES(3, Target.USERS_ANSWERED, Day::cutLeaderAndEndTheNext),
+    LEADER_CUT_AND_PEER_GONE(3, Target.USERS_ANSWERED, Day::cutLeaderAndEndAnotherForGood),
+    PEERS_LOST_LONG_BEFORE_STATE(3, Target.USERS_ANSWERED, Day::losePeersAndThenState),
+    LEADER_CUT_THEN_OUTAGE(3, Target.RECOVERS, Day::cutLeaderBeforeOutage),
+    OUTAGE(3, Target.ALL_READY, day -> day.outages(FAULT_MS, 1, 120_000)),
+    OUTAGE_AND_PEER_RESTARTS(3, Target.NEVER_EMPTY, Day::outageWithRestarts),
+    OUTAGE_AND_PEER_PAUSED(3, Target.RECOVERS, Day::outagesWithPauses),
+    OUTAGE_AND_SILENCE_AGAIN_AND_AGAIN(3, Target.NEVER_EMPTY, day -> day.silentOutages(7, 50_000)),
+    OUTAGE_AND_SILENCE_OF_FIVE(5, Target.NEVER_EMPTY, day -> day.silentOutages(9, 12_000)),
+    OUTAGE_AND_SILENCE_OF_TWO(2, Target.NEVER_EMPTY, day -> day.silentOutages(7, 80_000)),
+    LONG_OUTAGES_AND_SILENCE(3, Target.NEVER_EMPTY, day -> day.silentOutages(3, 600_000)),
+    SINGLE_CONTROLLER_LEFT(3, Target.NEVER_EMPTY, day -> day.endAllButOneBeforeOutages(340_000)),
+    SINGLE_CONTROLLER_JUST_LEFT(3, Target.RECOVERS, day -> day.endAllButOneBeforeOutages(10_000));
 
     private final int controllers;
     private final Target target;
@@ -224,8 +154,63 @@
       };
     }
 
-    List<Integer> leader() {
-      return List.of(-1);
+    void cutLeader(int durationS) {
+      cut(List.of(LEADER), FAULT_MS, durationS);
+    }
+
+    void cutLeaderAndPauseAnother() {
+      cutLeader(300);
+      scenario.at(FAULT_MS + 30_000, () -> cluster.freeze(other(), 25_000));
+    }
+
+    void cutLeaderAndEndTheNext() {
+      cutLeader(300);
+      scenario.at(FAULT_MS + 30_000, () -> cluster.crash(other(), 4_000));
+      scenario.at(FAULT_MS + 100_000, () -> cluster.crash(other(), 300));
+    }
+
+    void cutLeaderAndEndAnotherForGood() {
+      cutLeader(300);
+      scenario.at(FAULT_MS + 20_000, () -> cluster.crash(other(), FOR_GOOD_MS));
+    }
+
+    void cutLeaderBeforeOutage() {
+      cutLeader(200);
+      outages(FAULT_MS + 100_000, 1, 120_000);
+    }
+
+    void losePeersAndThenState() {
+      scenario.at(FAULT_MS, () -> separate(List.of(0), true));
+      scenario.at(FAULT_MS + 200_000, () -> loseState(0, true));
+      end(FAULT_MS + 400_000, () -> heal(List.of(0)));
+    }
+
+    void loseRequestsOfFirst() {
+      scenario.at(FAULT_MS, () -> cluster.network.dropRequestsFrom("n0", true));
+      end(FAULT_MS + 200_000, () -> cluster.network.dropRequestsFrom("n0", false));
+    }
+
+    void loseMessagesToFirst() {
+      scenario.at(FAULT_MS, () -> cluster.network.dropInbound("n0", true));
+      end(FAULT_MS + 200_000, () -> cluster.network.dropInbound("n0", false));
+    }
+
+    void outageWithRestarts() {
+      outages(FAULT_MS, 1, 120_000);
+      scenario.at(FAULT_MS + 30_000, () -> cluster.crash(0, 4_000));
+      scenario.at(FAULT_MS + 70_000, () -> cluster.crash(1, 300));
+    }
+
+    void outagesWithPauses() {
+      outages(FAULT_MS, 2, 90_000);
+      scenario.at(FAULT_MS + 10_000, () -> cluster.freeze(0, 60_000));
+      scenario.at(FAULT_MS + 130_000, () -> cluster.freeze(1, 60_000));
+    }
+
+    void endAllButOneBeforeOutages(long leadMs) {
+      scenario.at(FAULT_MS, () -> cluster.crash(0, FOR_GOOD_MS));
+      scenario.at(FAULT_MS, () -> cluster.crash(1, FOR_GOOD_MS));
+      outages(FAULT_MS + leadMs, 6, 40_000);
     }
 
     /** A controller that has not been cut; the leader if possible. */
@@ -243,13 +228,13 @@
       scenario.at(atMs, heal);
     }
 
-    /** Cuts the controllers from the state service and all others; -1 is the present leader. */
+    /** Cuts the controllers from the state service and all others. */
     void cut(List<Integer> controllers, long fromMs, int durationS) {
       scenario.at(
           fromMs,
           () -> {
             List<Integer> chosen = controllers;
-            if (controllers.contains(-1)) {
+            if (controllers.contains(LEADER)) {
               cutLeader = Math.max(0, cluster.leader());
               chosen = List.of(cutLeader);
             }
@@ -261,10 +246,10 @@
       end(fromMs + durationS * 1_000L, () -> {});
     }
 
-    void cutRepeatedly(List<Integer> controllers) {
+    void cutRepeatedly(Integer... controllers) {
       long fromMs = FAULT_MS;
       for (int durationS : new int[] {98, 5, 300, 20, 60, 10, 120, 40}) {
-        cut(controllers, fromMs, durationS);
+        cut(List.of(controllers), fromMs, durationS);
         fromMs += durationS * 1_000L + 2_000 + scenario.random.nextInt(30_000);
       }
     }
@@ -294,16 +279,7 @@
       }
     }
 
-    interface OneWayCut {
-      void set(String host, boolean active);
-    }
-
-    void oneWay(OneWayCut cut) {
-      scenario.at(FAULT_MS, () -> cut.set("n0", true));
-      end(FAULT_MS + 200_000, () -> cut.set("n0", false));
-    }
-
-    void outageAndSilenceRepeatedly(int count, int durationMs) {
+    void silentOutages(int count, int durationMs) {
       long fromMs = FAULT_MS;
       for (int i = 0; i < count; i++) {
         scenario.at(fromMs, () -> setOutageAndSilence(true));
@@ -322,7 +298,7 @@
       }
     }
 
-    void outagesFrom(long fromMs, int count, int durationMs) {
+    void outages(long fromMs, int count, int durationMs) {
       for (int i = 0; i < count; i++) {
         long beginMs = fromMs + i * (durationMs + 15_000L);
         scenario.at(beginMs, () -> cluster.state.setOutage(true));
