A controller whose reads are slow, and the others' are not, is not ready

Its replica stays fresh, so it is ready; but a read barrier of a user times out after 1.4 s, and each of 40 polls was answered with 503, 150 s long in the test, while the other controllers answered.

Cause: readiness looked at when the last successful read was sent, not at whether users can wait for one.

Change: the replica also keeps when the last read was sent that took at most 1 s. After 10 s without one the rule treats the state service as not read: other controllers read it: not ready; slow for all: ready. The resignation of a leader whose reads fail keeps its own limit and is unchanged.

--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -136,11 +136,7 @@
   private Readiness newReadiness() {
     ReadinessRule rule =
         new ReadinessRule(
-            scheduler,
-            replica::freshAsOfMs,
-            peerObservations,
-            controllerName,
-            election::leaderName);
+            scheduler, replica, peerObservations, controllerName, election::leaderName);
     return new Readiness(
         scheduler,
         replica,
--- a/src/main/java/org/ploverspindle/controller/Readiness.java
+++ b/src/main/java/org/ploverspindle/controller/Readiness.java
@@ -107,7 +107,7 @@
    * effect.
    */
   private void resignIfIneffective(boolean writesFail) {
-    boolean readsFail = election.isAuthoritative() && verdict != ReadinessRule.Verdict.READS_STATE;
+    boolean readsFail = election.isAuthoritative() && stateReachability.isUnreachable();
     if (stateReachability.isReachableByPeers() && (writesFail || readsFail)) {
       election.resignWithBackoff("the state service serves others, and refuses this leader");
     }
--- a/src/main/java/org/ploverspindle/controller/ReadinessRule.java
+++ b/src/main/java/org/ploverspindle/controller/ReadinessRule.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.ploverspindle.eventloop.Scheduler;
+import org.ploverspindle.state.Replica;
 
 /**
  * The rule by which a controller that has loaded the state is ready for users. It is ready while it
- * reads the state service. While it does not, it can't answer most requests, and the question is
- * whether another controller can:
+ * reads the state service, and not too slowly. While it does not, it can't answer most requests,
+ * and the question is whether another controller can:
  *
  * <ol>
  *   <li>Another controller reports that it reads: this controller is not ready.
@@ -35,6 +35,9 @@
   /** The state service counts as unreachable once the replica is staler than this. */
   static final long UNREACHABLE_AFTER_STALE_MS = 4_000;
 
+  /** How much longer than that this controller may go without a prompt read. */
+  private static final long SLOW_READS_TOLERATED_MS = 6_000;
+
   /**
    * A controller that was silent for this long before the last read may be gone for good. It is the
    * longest time for which a network partition is expected to last.
@@ -76,7 +79,7 @@
   }
 
   private final Scheduler scheduler;
-  private final LongSupplier freshAsOfMs;
+  private final Replica replica;
   private final PeerObservations peers;
   private final String controllerName;
   private final Supplier<Optional<String>> leaderName;
@@ -86,18 +89,17 @@
   private int removals;
 
   /**
-   * @param freshAsOfMs when the last successful read of the state service was sent
    * @param controllerName the name of this controller
    * @param leaderName the leader that the last read showed
    */
   ReadinessRule(
       Scheduler scheduler,
-      LongSupplier freshAsOfMs,
+      Replica replica,
       PeerObservations peers,
       String controllerName,
       Supplier<Optional<String>> leaderName) {
     this.scheduler = scheduler;
-    this.freshAsOfMs = freshAsOfMs;
+    this.replica = replica;
     this.peers = peers;
     this.controllerName = controllerName;
     this.leaderName = leaderName;
@@ -105,7 +107,8 @@
 
   /** Applies the rule now; must be called at regular intervals. */
   Verdict evaluate() {
-    long lastReadMs = freshAsOfMs.getAsLong();
+    long lastReadMs =
+        Math.min(replica.freshAsOfMs(), replica.promptAsOfMs() + SLOW_READS_TOLERATED_MS);
     if (scheduler.nowMs() - lastReadMs <= UNREACHABLE_AFTER_STALE_MS) {
       return Verdict.READS_STATE;
     }
--- a/src/main/java/org/ploverspindle/controller/StateReachability.java
+++ b/src/main/java/org/ploverspindle/controller/StateReachability.java
@@ -62,6 +62,11 @@
     return scheduler.nowMs() - replica.freshAsOfMs();
   }
 
+  /** Whether the last answered read is so old that reads seem to fail. */
+  boolean isUnreachable() {
+    return stalenessMs() > ReadinessRule.UNREACHABLE_AFTER_STALE_MS;
+  }
+
   /**
    * Probes the other controllers if this one seems unable to reach the state service, at most once
    * per probe interval.
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -38,6 +38,12 @@
 
   private static final int PAGE_SIZE = 500;
 
+  /**
+   * A read that takes longer than this is not prompt. A request may have to wait for the read in
+   * flight and for the next one, and users wait for 2 s.
+   */
+  private static final long PROMPT_READ_MS = 1_000;
+
   private final Scheduler scheduler;
   private final StateStore store;
   private final String prefix;
@@ -54,6 +60,7 @@
   private boolean loaded;
   private long revision;
   private long freshAsOfMs = ReadPacing.NEVER_MS;
+  private long promptAsOfMs = ReadPacing.NEVER_MS;
 
   /**
    * @param prefix the prefix of the keys that are replicated
@@ -118,6 +125,14 @@
     return freshAsOfMs;
   }
 
+  /**
+   * Returns when the last successful read was sent that was answered promptly, or a full load. If
+   * all reads are slow, the replica is fresh, and yet most requests can't wait for a read barrier.
+   */
+  public long promptAsOfMs() {
+    return promptAsOfMs;
+  }
+
   /** Returns the entry of a key; empty if the key does not exist. */
   public Optional<Entry> get(String key) {
     return entries.get(key);
@@ -213,6 +228,9 @@
       changes.changes().forEach(entries::apply);
       revision = Math.max(revision, changes.revision());
       freshAsOfMs = Math.max(freshAsOfMs, sentMs);
+      if (scheduler.nowMs() - sentMs <= PROMPT_READ_MS) {
+        promptAsOfMs = sentMs;
+      }
       servedReaders.forEach(reader -> reader.accept(true));
     } else if (result instanceof ChangesResult.TooOld) {
       loaded = false;
@@ -311,6 +329,7 @@
     loaded = true;
     pacing.readSucceeded();
     freshAsOfMs = Math.max(freshAsOfMs, sentMs);
+    promptAsOfMs = Math.max(promptAsOfMs, sentMs);
     // A waiting reader may have arrived after the first page was requested. It is served by another
     // read, since the reload may lack changes that were committed before the reader arrived.
     scheduleRead();
--- a/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
+++ b/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
@@ -45,6 +45,9 @@
     TWO_OF_THREE_CUT_TOGETHER(3, Target.USERS_ANSWERED, day -> day.cutRepeatedly(0, 1)),
     REQUESTS_OF_FIRST_LOST(3, Target.USERS_ANSWERED, Day::loseRequestsOfFirst),
     NOTHING_REACHES_FIRST(3, Target.USERS_ANSWERED, Day::loseMessagesToFirst),
+    /** Reads that take 1.6 s keep the replica fresh, but users don't wait for the next one. */
+    SLOW_READS_OF_FIRST(3, Target.USERS_ANSWERED, day -> day.slowResponses(0)),
+    SLOW_READS_OF_ALL(3, Target.ALL_READY, day -> day.slowResponses(0, 1, 2)),
     LEADER_CUT_AND_PEER_PAUSED(3, Target.USERS_ANSWERED, Day::cutLeaderAndPauseAnother),
     LEADER_CUT_AND_LEADER_CHANGES(3, Target.USERS_ANSWERED, Day::cutLeaderAndEndTheNext),
     LEADER_CUT_AND_PEER_GONE(3, Target.USERS_ANSWERED, Day::cutLeaderAndEndAnotherForGood),
@@ -195,6 +198,13 @@
       end(FAULT_MS + 200_000, () -> cluster.network.dropInbound("n0", false));
     }
 
+    void slowResponses(Integer... controllers) {
+      for (int controller : controllers) {
+        scenario.at(FAULT_MS, () -> cluster.stateAccess.setResponseDelay(controller, 1_600));
+        end(FAULT_MS + 150_000, () -> cluster.stateAccess.setResponseDelay(controller, 0));
+      }
+    }
+
     void outageWithRestarts() {
       outages(FAULT_MS, 1, 120_000);
       scenario.at(FAULT_MS + 30_000, () -> cluster.crash(0, 4_000));
--- a/src/test/java/org/ploverspindle/sim/SimStateAccess.java
+++ b/src/test/java/org/ploverspindle/sim/SimStateAccess.java
@@ -34,6 +34,7 @@
   private final boolean smallPages;
   private final Set<RefusedRequests> refusals = new HashSet<>();
   private final Map<Integer, Long> executedWrites = new HashMap<>();
+  private final Map<Integer, Long> responseDelaysMs = new HashMap<>();
   private Consumer<StateStore.Transaction> sendListener = transaction -> {};
   private int unansweredWrites;
   private int reorderedWrites;
@@ -71,6 +72,11 @@
     return reorderedWrites;
   }
 
+  /** From now on the controller gets all responses this much later; 0: without delay. */
+  void setResponseDelay(int controller, long delayMs) {
+    responseDelaysMs.put(controller, delayMs);
+  }
+
   StateStore client(int controller, SimLink link) {
     return new Client(controller, link);
   }
@@ -86,12 +92,15 @@
 
     private <T> void request(
         RequestKind kind, Supplier<T> execute, T refusedResult, T timeoutResult, Consumer<T> then) {
+      long responseDelayMs = responseDelaysMs.getOrDefault(controller, 0L);
       link.request(
           STATE,
           TIMEOUT_MS,
           reply -> reply.accept(admitsRequest(kind) ? execute.get() : refusedResult),
           timeoutResult,
-          then);
+          responseDelayMs == 0
+              ? then
+              : result -> link.process().schedule(responseDelayMs, () -> then.accept(result)));
     }
 
     private boolean admitsRequest(RequestKind kind) {
