--- a/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
+++ b/src/test/java/org/ploverspindle/sim/ReadinessFaultsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.ploverspindle.JobSpecBuilder;
 import org.ploverspindle.model.JobKind;
@@ -21,6 +22,9 @@
   /** Stands for the controller that leads when a fault begins. */
   private static final int LEADER = -1;
 
+  /** Simulated length of the random days; 600 in a long run by hand. */
+  private static final int SOAK_MINUTES = Integer.getInteger("soak.minutes", 20);
+
   private static final int FOR_GOOD_MS = 3_000_000;
 
   /** What users and the load balancer must see while the faults last. */
@@ -60,6 +64,11 @@
     OUTAGE_AND_SILENCE_OF_FIVE(5, Target.NEVER_EMPTY, day -> day.silentOutages(9, 12_000)),
     OUTAGE_AND_SILENCE_OF_TWO(2, Target.NEVER_EMPTY, day -> day.silentOutages(7, 80_000)),
     LONG_OUTAGES_AND_SILENCE(3, Target.NEVER_EMPTY, day -> day.silentOutages(3, 600_000)),
+    /**
+     * The length in CI; by hand: {@code mvn test -Dtest=ReadinessFaultsTest -Dsoak.minutes=600}.
+     */
+    RANDOM_CUTS_OF_ONE_AT_A_TIME(3, Target.USERS_ANSWERED, day -> day.randomCuts(SOAK_MINUTES)),
+    RANDOM_FAULTS(5, Target.RECOVERS, day -> day.randomFaults(SOAK_MINUTES)),
     SINGLE_CONTROLLER_LEFT(3, Target.NEVER_EMPTY, day -> day.endAllButOneBeforeOutages(340_000)),
     SINGLE_CONTROLLER_JUST_LEFT(3, Target.RECOVERS, day -> day.endAllButOneBeforeOutages(10_000));
 
@@ -205,6 +214,37 @@
       }
     }
 
+    /** One controller at a time is cut off, while others end and return at once. */
+    void randomCuts(int minutes) {
+      Random random = scenario.random;
+      long atMs = FAULT_MS;
+      while (atMs < FAULT_MS + minutes * 60_000L) {
+        int durationS = 5 + random.nextInt(random.nextBoolean() ? 30 : 296);
+        cut(List.of(random.nextInt(cluster.controllerCount)), atMs, durationS);
+        int other = random.nextInt(cluster.controllerCount);
+        scenario.at(atMs + random.nextInt(60_000), () -> cluster.crash(other, 300));
+        atMs += durationS * 1_000L + 1_000 + random.nextInt(60_000);
+      }
+    }
+
+    /** Faults of all kinds, which may overlap, each followed by another within two minutes. */
+    void randomFaults(int minutes) {
+      Random random = scenario.random;
+      long endMs = FAULT_MS + minutes * 60_000L;
+      for (long atMs = FAULT_MS; atMs < endMs; atMs += 2_000 + random.nextInt(118_000)) {
+        int controller = random.nextInt(cluster.controllerCount);
+        int durationS = 5 + random.nextInt(random.nextBoolean() ? 30 : 296);
+        switch (random.nextInt(5)) {
+          case 0 -> cut(List.of(controller), atMs, durationS);
+          case 1 -> cut(List.of(LEADER), atMs, durationS);
+          case 2 -> outages(atMs, 1, durationS * 1_000);
+          case 3 -> scenario.at(atMs, () -> cluster.freeze(controller, durationS * 200L));
+          default -> scenario.at(atMs, () -> cluster.crash(controller, durationS * 100L));
+        }
+      }
+      end(endMs, () -> {});
+    }
+
     void outageWithRestarts() {
       outages(FAULT_MS, 1, 120_000);
       scenario.at(FAULT_MS + 30_000, () -> cluster.crash(0, 4_000));
