--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -48,9 +48,20 @@
     Response handle(String method, String path, String query, byte[] body) throws Exception;
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return s.getLocalPort();
+  private static final java.util.Set<Integer> GIVEN = new java.util.HashSet<>();
+  private static final java.util.Random PORTS = new java.util.Random();
+
+  /** A port that nothing listens on, below those that the system gives to outgoing connections. */
+  static synchronized int freePort() throws IOException {
+    while (true) {
+      int port = 12_000 + PORTS.nextInt(20_000);
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (GIVEN.add(port)) {
+          return s.getLocalPort();
+        }
+      } catch (java.net.BindException e) {
+        // In use: another one is tried.
+      }
     }
   }
 
--- a/review/standins-2/Platform.java
+++ b/review/standins-2/Platform.java
@@ -395,6 +395,9 @@
             }
             client.close();
             client = null;
+            if (r.status() != 421) {
+              rules.say("report of " + host + ", " + body.length + " bytes -> " + r.status());
+            }
             String steward = r.status() == 421 && r.body().length > 0 ? Cb.text(r.map(), "steward") : "";
             int named = frontNames.indexOf(steward);
             if (named >= 0 && named != front) {
@@ -403,6 +406,7 @@
               continue;
             }
           } catch (IOException e) {
+            rules.say("report of " + host + ", " + body.length + " bytes -> " + e.getMessage());
             client = null;
           }
           front = (front + 1) % frontNames.size();
