--- a/review/standins-2/CrashWithHistory.java
+++ b/review/standins-2/CrashWithHistory.java
@@ -25,7 +25,7 @@
   }
 
   private static boolean play(Deployment d) throws Exception {
-    addHistory(d);
+    addHistory(d, FINISHED_JOBS);
     for (Cluster.Controller c : d.cluster.controllers) {
       d.cluster.start(c);
       d.await(c.name + " is ready", 15_000, () -> Cluster.ready(c));
@@ -60,7 +60,8 @@
     return answered && d.rules.broken.isEmpty();
   }
 
-  private static boolean poll(Deployment d, Rules.Job job, Cluster.Controller c) {
+  /** Asks one controller about the job; whether the answer was 200. */
+  static boolean poll(Deployment d, Rules.Job job, Cluster.Controller c) {
     long asked = d.rules.now();
     Http.Client client = new Http.Client(c.front);
     try {
@@ -76,26 +77,31 @@
   }
 
   /** Stores finished jobs in the form in which a controller stores them. */
-  private static void addHistory(Deployment d) {
+  static void addHistory(Deployment d, int jobs) {
     synchronized (d.state) {
-      for (int i = 0; i < FINISHED_JOBS; i++) {
+      for (int i = 0; i < jobs; i++) {
         String uid = String.format("run-%06d", i);
         ObjectNode batch = Cbor.map();
-        batch.set(uid, new JobRecord(spec(uid), System.currentTimeMillis() - 3_600_000, 79).encode());
+        batch.set(uid, record(uid, 10));
         put(d.state, Keys.jobBatch("spindle-0-earlier-" + i), Cb.readMap(Cbor.write(batch)));
         put(d.state, Keys.completion(uid), Cb.map("tasks", 10));
       }
     }
-    d.rules.say("finished jobs in the state service: " + FINISHED_JOBS + ", keys: " + d.state.entries.size());
+    d.rules.say("finished jobs in the state service: " + jobs + ", keys: " + d.state.entries.size());
   }
 
-  private static void put(StateService state, String key, Map<String, Object> value) {
+  /** The stored record of a job that was accepted an hour ago. */
+  static ObjectNode record(String uid, int tasks) {
+    return new JobRecord(spec(uid, tasks), System.currentTimeMillis() - 3_600_000, 79).encode();
+  }
+
+  static void put(StateService state, String key, Map<String, Object> value) {
     state.ledger++;
     state.entries.put(key, new StateService.Entry(value, state.ledger, 0));
   }
 
-  private static JobSpec spec(String uid) {
-    return new JobSpec(uid, "resubmit-marking", "platform-team", JobKind.BATCH, Priority.HIGH, 10, 1, 0, 2.5,
+  private static JobSpec spec(String uid, int tasks) {
+    return new JobSpec(uid, "resubmit-marking", "platform-team", JobKind.BATCH, Priority.HIGH, tasks, 1, 0, 2.5,
         Optional.empty(), Optional.empty(), false, false, true, "img-01", 0.6, 35, 0, 0, OptionalDouble.of(80), List.of());
   }
 }
