Submissions with a separate dependency list are answered before their user gives up

Cause: the limits of the steps (3.5 s for the list, 2.5 s for the write, 1.4 s for the read after it) add up.

Changed: such a submission gets a 503 4.5 s after it came in any case. A job that is accepted later is found by the repeat.

--- a/src/main/java/org/ploverspindle/api/DependentSubmissions.java
+++ b/src/main/java/org/ploverspindle/api/DependentSubmissions.java
@@ -19,6 +19,12 @@
    */
   private static final long LIST_TIMEOUT_MS = 3_500;
 
+  /**
+   * Age at which a submission with a separate list gets a response in any case, as its user waits
+   * for 5 s. A job that is accepted later is found by the user's repeated request.
+   */
+  private static final long RESPONSE_TIMEOUT_MS = 4_500;
+
   /** Minimum time that is left to write the job itself once its list is stored. */
   private static final long MIN_TIME_AFTER_LIST_MS = 1_000;
 
@@ -99,13 +105,22 @@
                   QUEUE_FULL_RETRY_S));
       return;
     }
+    Submission timed = withResponseTimeout(submission);
     Consumer<Boolean> firstResult =
-        new FirstValueConsumer<>(stored -> acceptAfterList(submission, stored));
+        new FirstValueConsumer<>(stored -> acceptAfterList(timed, stored));
     long remainingMs = submission.receivedMs() + LIST_TIMEOUT_MS - scheduler.nowMs();
     scheduler.schedule(Math.max(0, remainingMs), () -> firstResult.accept(false));
     listWriter.write(list, firstResult);
   }
 
+  private Submission withResponseTimeout(Submission submission) {
+    Consumer<ApiResponse> firstResponse = new FirstValueConsumer<>(submission.responder());
+    long remainingMs = submission.receivedMs() + RESPONSE_TIMEOUT_MS - scheduler.nowMs();
+    scheduler.schedule(
+        Math.max(0, remainingMs), () -> firstResponse.accept(ApiResponse.stateUnavailable()));
+    return submission.withResponder(firstResponse);
+  }
+
   private void acceptAfterList(Submission submission, boolean stored) {
     if (!stored) {
       submission
--- a/src/main/java/org/ploverspindle/api/Submission.java
+++ b/src/main/java/org/ploverspindle/api/Submission.java
@@ -36,4 +36,8 @@
   Submission withReceivedMs(long newReceivedMs) {
     return new Submission(spec, jobRecord, dependencyList, newReceivedMs, responder);
   }
+
+  Submission withResponder(Consumer<ApiResponse> newResponder) {
+    return new Submission(spec, jobRecord, dependencyList, receivedMs, newResponder);
+  }
 }
