A load of the state goes on at the refused page, within a share that holds while all load

Each poll got 503, no worker got an answer, and the accepted job did not go on.

Cause: one refused page ended a load, the next began with the first page, nothing paced the pages, and all waited for the same time after a refusal. Three loads use up the one second's worth of requests at the same time, all are refused, and all begin anew together. On a related path, a load that took longer than the 10,000 changes that the state service keeps was followed by a reload, and so for ever.

Changed: state.ReplicaLoad repeats a refused or unanswered request and goes on from there. state.LoadPacing holds it to half of the request limit divided by the number of controllers, with a burst of a second and jitter, and backs off from 0.2 to 2 s with jitter. Changes are read each two seconds of a load and once at its end, so the kept changes don't run out. The set of all keys of a load is gone: what a page lacks is removed as the page is read. A load logs its progress and its end.

--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -80,7 +80,8 @@
     this.controllerName = settings.controllerName();
     this.peers = services.peers();
     this.requestRates = new RequestRates(settings);
-    this.replica = new Replica(scheduler, store, Keys.PREFIX, REPLICA_IDLE_READ_INTERVAL_MS);
+    this.replica =
+        new Replica(scheduler, store, Keys.PREFIX, REPLICA_IDLE_READ_INTERVAL_MS, random);
     this.stateReachability =
         new StateReachability(scheduler, replica, store, peers, controllerName);
     this.peerObservations =
@@ -156,6 +157,7 @@
    */
   public void start() {
     replica.setReadInterval(requestRates.followerReadIntervalMs());
+    replica.setLoadRate(requestRates.loadRequestsPerS());
     periodicTasks.add(replica.start());
     periodicTasks.add(scheduler.scheduleWithFixedDelay(READINESS_INTERVAL_MS, readiness::update));
     periodicTasks.add(
--- a/src/main/java/org/ploverspindle/controller/RequestRates.java
+++ b/src/main/java/org/ploverspindle/controller/RequestRates.java
@@ -19,6 +19,12 @@
   /** Share of the allowed requests for the reads of all other controllers together. */
   private static final double FOLLOWER_READ_SHARE = 0.45;
 
+  /**
+   * Share of the allowed requests for the loads of all controllers together, as all may have to
+   * load at the same time. A controller that loads sends no other reads.
+   */
+  private static final double LOAD_SHARE = 0.5;
+
   private static final long MIN_LEADER_READ_INTERVAL_MS = 60;
   private static final long MIN_FOLLOWER_READ_INTERVAL_MS = 150;
 
@@ -63,6 +69,11 @@
     return Math.max(MIN_FOLLOWER_READ_INTERVAL_MS, Math.round(MS_PER_S / perSecond));
   }
 
+  /** Returns how many requests per second a load of this controller may send on average. */
+  double loadRequestsPerS() {
+    return settings.effectiveStateLimits().requestsPerS() * LOAD_SHARE / settings.controllerCount();
+  }
+
   /** Creates the budget of changes for the leader's own writes. */
   TokenBucket leaderWriteBudget(Scheduler scheduler) {
     double writesPerS = settings.effectiveStateLimits().changesPerS();
--- a/src/main/java/org/ploverspindle/state/ReadPacing.java
+++ b/src/main/java/org/ploverspindle/state/ReadPacing.java
@@ -30,9 +30,6 @@
    */
   private static final long MAX_INTERVAL_MS = 600;
 
-  private static final long RELOAD_BACKOFF_STEP_MS = 200;
-  private static final long MAX_RELOAD_BACKOFF_MS = 2_000;
-
   private final Scheduler scheduler;
   private long intervalMs = INITIAL_INTERVAL_MS;
   private long lastSentMs = NEVER_MS;
@@ -92,9 +89,4 @@
     }
     return lastSentMs + Math.min(MAX_INTERVAL_MS, LOW_PRIORITY_INTERVAL_FACTOR * intervalMs);
   }
-
-  /** Returns the time to wait before a failed reload is retried, in milliseconds. */
-  long reloadBackoffMs() {
-    return Math.min(MAX_RELOAD_BACKOFF_MS, RELOAD_BACKOFF_STEP_MS * consecutiveFailures);
-  }
 }
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -2,20 +2,17 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.SortedMap;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.ploverspindle.eventloop.Cancellable;
 import org.ploverspindle.eventloop.Scheduler;
 import org.ploverspindle.state.StateStore.Change;
 import org.ploverspindle.state.StateStore.ChangedEntry;
 import org.ploverspindle.state.StateStore.ChangesResult;
 import org.ploverspindle.state.StateStore.Entry;
-import org.ploverspindle.state.StateStore.PageResult;
 
 /**
  * This process's replica of the state service. Short reads of the changes since the last read keep
@@ -36,8 +33,6 @@
     void changed(String key, Optional<Entry> entry);
   }
 
-  private static final int PAGE_SIZE = 500;
-
   /**
    * A read that takes longer than this is not prompt. A request may have to wait for the read in
    * flight and for the next one, and users wait for 2 s.
@@ -50,6 +45,7 @@
   private final long idlePeriodMs;
   private final ReplicaEntries entries = new ReplicaEntries();
   private final ReadPacing pacing;
+  private final LoadPacing loadPacing;
 
   private List<Consumer<Boolean>> waitingReaders = new ArrayList<>();
   private boolean urgentReadWaiting;
@@ -66,13 +62,20 @@
    * @param prefix the prefix of the keys that are replicated
    * @param idlePeriodMs the time between two reads while no reader waits, in milliseconds; it is
    *     longer while reads fail
+   * @param random the source of the jitter of loads
    */
-  public Replica(Scheduler scheduler, StateStore store, String prefix, long idlePeriodMs) {
+  public Replica(
+      Scheduler scheduler,
+      StateStore store,
+      String prefix,
+      long idlePeriodMs,
+      RandomGenerator random) {
     this.scheduler = scheduler;
     this.store = store;
     this.prefix = prefix;
     this.idlePeriodMs = idlePeriodMs;
     this.pacing = new ReadPacing(scheduler);
+    this.loadPacing = new LoadPacing(scheduler, random);
   }
 
   /**
@@ -99,6 +102,14 @@
     pacing.setInterval(ms);
   }
 
+  /**
+   * Sets the average number of requests per second of a load. Together, the rates of all
+   * controllers must leave room for the other requests to the state service.
+   */
+  public void setLoadRate(double requestsPerS) {
+    loadPacing.setRate(requestsPerS);
+  }
+
   /**
    * Reads immediately if the last read was sent at least {@code ms} milliseconds ago. Each
    * consecutive failed read adds another {@code ms} to this time.
@@ -267,71 +278,27 @@
     }
     readInFlight = true;
     pacing.readSent();
-    loadPage("", OptionalLong.empty(), new HashSet<>(), pacing.lastSentMs());
-  }
-
-  /**
-   * Loads a page and all pages after it.
-   *
-   * @param after the last key of the previous page; empty for the first page
-   * @param firstRevision the revision of the first page; empty if this is the first page
-   * @param loadedKeys the keys of the previous pages; the keys of this page are added to it
-   * @param sentMs when the first page was requested
-   */
-  private void loadPage(
-      String after, OptionalLong firstRevision, Set<String> loadedKeys, long sentMs) {
-    store.readPage(
-        prefix,
-        after,
-        PAGE_SIZE,
-        result -> {
-          if (!(result instanceof PageResult.Page page)) {
-            reloadFailed();
-            return;
-          }
-          String lastKey = after;
-          for (Entry entry : page.entries()) {
-            loadedKeys.add(entry.key());
-            lastKey = entry.key();
-            entries.apply(
-                new ChangedEntry(entry.key(), Optional.of(entry.value()), entry.modRevision()));
-          }
-          // Pages can have different revisions. The next read of changes starts at the revision of
-          // the first page, and so includes all changes that were made between pages.
-          long baseRevision = firstRevision.orElse(page.revision());
-          if (page.hasNext() && !page.entries().isEmpty()) {
-            loadPage(lastKey, OptionalLong.of(baseRevision), loadedKeys, sentMs);
-          } else {
-            reloadSucceeded(baseRevision, loadedKeys, sentMs);
-          }
-        });
+    new ReplicaLoad(scheduler, store, prefix, entries, loadPacing, new LoadEvents()).sendNext();
   }
 
-  private void reloadFailed() {
-    readInFlight = false;
-    pacing.readFailed();
-    takeWaitingReaders().forEach(reader -> reader.accept(false));
-    // Reloads back off, so that a state service that recovers from an outage does not receive the
-    // reloads of all controllers at the same time.
-    scheduler.schedule(
-        pacing.reloadBackoffMs(),
-        () -> {
-          if (!loaded) {
-            reload();
-          }
-        });
-  }
+  /** Ends the waiting of readers when a load is refused, and the load when it is complete. */
+  private final class LoadEvents implements ReplicaLoad.Listener {
+    @Override
+    public void requestFailed() {
+      takeWaitingReaders().forEach(reader -> reader.accept(false));
+    }
 
-  private void reloadSucceeded(long baseRevision, Set<String> loadedKeys, long sentMs) {
-    entries.retainOnly(loadedKeys);
-    revision = baseRevision;
-    readInFlight = false;
-    loaded = true;
-    pacing.readSucceeded();
-    freshAsOfMs = Math.max(freshAsOfMs, sentMs);
-    promptAsOfMs = Math.max(promptAsOfMs, sentMs);
-    // A waiting reader may have arrived after the first page was requested. It is served by another
-    // read, since the reload may lack changes that were committed before the reader arrived.
-    scheduleRead();
+    @Override
+    public void completed(long loadedRevision, long sentMs) {
+      revision = loadedRevision;
+      readInFlight = false;
+      loaded = true;
+      pacing.readSucceeded();
+      freshAsOfMs = Math.max(freshAsOfMs, sentMs);
+      promptAsOfMs = Math.max(promptAsOfMs, sentMs);
+      // A waiting reader may have arrived after the last read of the load was sent. It is served by
+      // another read, since the load may lack changes that were committed before it arrived.
+      scheduleRead();
+    }
   }
 }
--- a/src/main/java/org/ploverspindle/state/ReplicaEntries.java
+++ b/src/main/java/org/ploverspindle/state/ReplicaEntries.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
@@ -45,9 +46,24 @@
     }
   }
 
-  /** Removes all entries whose keys are not in this set. */
-  void retainOnly(Set<String> keys) {
-    List<String> removed = entries.keySet().stream().filter(key -> !keys.contains(key)).toList();
+  /**
+   * Removes the entries in a range of keys that a page of the state service does not contain.
+   *
+   * @param after the range begins after this key; empty to begin at the first key
+   * @param last the last key of the range; empty if the range has no end
+   * @param keys the keys of the page
+   * @param pageRevision the revision of the page; entries that were changed later are kept
+   */
+  void removeMissing(String after, Optional<String> last, Set<String> keys, long pageRevision) {
+    NavigableMap<String, Entry> range = entries.tailMap(after, false);
+    if (last.isPresent()) {
+      range = range.headMap(last.get(), true);
+    }
+    List<String> removed =
+        range.values().stream()
+            .filter(entry -> entry.modRevision() <= pageRevision && !keys.contains(entry.key()))
+            .map(Entry::key)
+            .toList();
     for (String key : removed) {
       entries.remove(key);
       notifyListeners(key, Optional.empty());
--- a/src/test/java/org/ploverspindle/api/UserRequestsTest.java
+++ b/src/test/java/org/ploverspindle/api/UserRequestsTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,7 +56,7 @@
   @BeforeEach
   void open() {
     Settings settings = settings();
-    Replica replica = new Replica(store, store, Keys.PREFIX, 700);
+    Replica replica = new Replica(store, store, Keys.PREFIX, 700, new SplittableRandom(1));
     AcceptedJobIndex acceptedJobs = new AcceptedJobIndex(replica);
     ProgressCounts counts = new ProgressCounts(replica);
     Catalogue catalogue = new Catalogue(settings.zones());
--- a/src/test/java/org/ploverspindle/leadership/PriorityInheritanceTest.java
+++ b/src/test/java/org/ploverspindle/leadership/PriorityInheritanceTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.JobSpecFixtures;
 import org.ploverspindle.cluster.Job;
@@ -45,7 +46,7 @@
   private long nowMs = 1_000;
 
   PriorityInheritanceTest() {
-    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700);
+    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700, new SplittableRandom(1));
     TeamUsage teams = new TeamUsage(List.of(new Settings.Team("red", 0, 0, 0, 0)));
     jobs =
         new JobTable(
--- a/src/test/java/org/ploverspindle/placement/EffectiveValuesTest.java
+++ b/src/test/java/org/ploverspindle/placement/EffectiveValuesTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -56,7 +57,7 @@
     catalogue.update(
         List.of(
             new MachineType("t", Resources.offered(16, 0, 64), 40, 1, 1, 0.4, 30, List.of("a"))));
-    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700);
+    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700, new SplittableRandom(1));
     jobs = new JobTable(emptyReplica, new AcceptedJobIndex(emptyReplica), catalogue, teams);
     Term term = new Term(7, 1, 0);
     MachineRegistry fleet =
--- a/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
+++ b/src/test/java/org/ploverspindle/placement/LargeFleetTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.ploverspindle.cluster.Heartbeat;
@@ -103,7 +104,7 @@
   }
 
   private JobTable pendingJobs() {
-    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700);
+    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700, new SplittableRandom(1));
     JobTable table =
         new JobTable(
             emptyReplica, new AcceptedJobIndex(emptyReplica), fleet.catalogue, fleet.teams);
--- a/src/test/java/org/ploverspindle/placement/PlacerTest.java
+++ b/src/test/java/org/ploverspindle/placement/PlacerTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -111,7 +112,7 @@
   void placementsEqualThoseOfTheReference(long seed) {
     Random random = new Random(seed);
     MachineRegistry fleet = fleet(random, 5 + random.nextInt(25));
-    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700);
+    Replica emptyReplica = new Replica(new EventLoop(), null, "x/", 700, new SplittableRandom(1));
     JobTable jobs =
         new JobTable(emptyReplica, new AcceptedJobIndex(emptyReplica), catalogue, teams);
     for (int i = 0; i < 14; i++) {
--- a/src/test/java/org/ploverspindle/sim/CancelledPlacementsScenario.java
+++ b/src/test/java/org/ploverspindle/sim/CancelledPlacementsScenario.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.ploverspindle.JobFixtures;
@@ -145,7 +146,7 @@
     Leader() {
       long leaderRevision = newTerm();
       FaultyStateClient client = new FaultyStateClient(process);
-      Replica replica = new Replica(process, client, Keys.PREFIX, 700);
+      Replica replica = new Replica(process, client, Keys.PREFIX, 700, new SplittableRandom(1));
       replica.start();
       runFor(1_000);
       assertTrue(replica.isLoaded());
--- a/src/test/java/org/ploverspindle/sim/FaultScenario.java
+++ b/src/test/java/org/ploverspindle/sim/FaultScenario.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,13 +19,18 @@
 import org.ploverspindle.JobSpecBuilder;
 import org.ploverspindle.model.JobSpec;
 import org.ploverspindle.model.Priority;
+import org.ploverspindle.net.Cbor;
 import org.ploverspindle.policy.Policy;
 import org.ploverspindle.settings.Settings;
+import org.ploverspindle.state.JobRecord;
+import org.ploverspindle.state.Keys;
 
 /** One simulated day on which one combination of faults is injected. */
 final class FaultScenario {
   static final int CONTROLLERS = 3;
   static final long RECOVERY_MS = 110_000;
+  private static final int FIRST_FINISHED_UID = 500_000;
+  private static final int SHARD_SIZE = 20;
 
   /**
    * Heartbeat interval, worker lease and cancellation time of each operator's deployment, in
@@ -143,6 +149,44 @@
     }
   }
 
+  /** Stores finished jobs of earlier days, as controllers store them; each takes two keys. */
+  void preloadFinishedJobs(int count) {
+    for (int i = 0; i < count; i++) {
+      JobSpec spec = JobSpecBuilder.job("run-" + (FIRST_FINISHED_UID + i)).team("red").build();
+      ObjectNode batch = Cbor.map();
+      batch.set(spec.uid(), new JobRecord(spec, 1, SHARD_SIZE).encode());
+      cluster.state.preload(Keys.jobBatch("earlier-" + i), batch);
+      cluster.state.preload(Keys.completion(spec.uid()), Cbor.map().put("tasks", spec.tasks()));
+    }
+  }
+
+  void crashAll(long restartDelayMs) {
+    for (int i = 0; i < cluster.controllerCount; i++) {
+      cluster.crash(i, restartDelayMs);
+    }
+  }
+
+  /** Crashes the controllers that don't lead; returns how many crashed. */
+  int crashFollowers(long restartDelayMs) {
+    int leader = cluster.leader();
+    int crashed = 0;
+    for (int i = 0; i < cluster.controllerCount; i++) {
+      if (i != leader && cluster.isAlive(i)) {
+        cluster.crash(i, restartDelayMs);
+        crashed++;
+      }
+    }
+    return crashed;
+  }
+
+  int readyControllers() {
+    int ready = 0;
+    for (int i = 0; i < cluster.controllerCount; i++) {
+      ready += cluster.isReady(i) ? 1 : 0;
+    }
+    return ready;
+  }
+
   void crashLeader(long restartDelayMs) {
     if (cluster.leader() >= 0) {
       cluster.crash(cluster.leader(), restartDelayMs);
--- a/src/test/java/org/ploverspindle/sim/LargeJobProgressSoak.java
+++ b/src/test/java/org/ploverspindle/sim/LargeJobProgressSoak.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.ploverspindle.JobFixtures;
 import org.ploverspindle.JobSpecFixtures;
@@ -211,7 +212,7 @@
     Leader(String uid) {
       long leaderRevision = newTerm();
       StateStore client = new LossyClient(process);
-      Replica replica = new Replica(process, client, Keys.PREFIX, 700);
+      Replica replica = new Replica(process, client, Keys.PREFIX, 700, new SplittableRandom(1));
       replica.start();
       while (!replica.isLoaded()) {
         clock.runUntil(clock.nowMs() + STEP_MS);
--- a/src/test/java/org/ploverspindle/sim/LowerLimitsScenario.java
+++ b/src/test/java/org/ploverspindle/sim/LowerLimitsScenario.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.SortedMap;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.ploverspindle.JobFixtures;
@@ -212,7 +213,7 @@
     WritingLeader(Settings.StateLimits limits, boolean assertsLimits) {
       long leaderRevision = newTerm();
       client = new FaultyStateClient(process, assertsLimits);
-      Replica replica = new Replica(process, client, Keys.PREFIX, 700);
+      Replica replica = new Replica(process, client, Keys.PREFIX, 700, new SplittableRandom(1));
       replica.start();
       clock.runUntil(clock.nowMs() + 1_000);
       assertTrue(replica.isLoaded());
--- a/src/test/java/org/ploverspindle/sim/MachineTerminationsTest.java
+++ b/src/test/java/org/ploverspindle/sim/MachineTerminationsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -73,7 +74,7 @@
     StateStore store =
         new SimStateAccess(clock, new Random(2), network, state, false)
             .client(0, new SimLink(clock, network, 0, process));
-    replica = new Replica(process, store, Keys.PREFIX, 700);
+    replica = new Replica(process, store, Keys.PREFIX, 700, new SplittableRandom(1));
     replica.start();
     clock.runUntil(RESPONSE_MS);
     term =
--- a/src/test/java/org/ploverspindle/sim/MixedVersionFailoverTest.java
+++ b/src/test/java/org/ploverspindle/sim/MixedVersionFailoverTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ploverspindle.JobFixtures;
@@ -66,7 +67,7 @@
     ThisVersionLeader(boolean recordsComplete) {
       long leaderRevision = newTerm();
       FaultyStateClient client = new FaultyStateClient(process);
-      replica = new Replica(process, client, Keys.PREFIX, 200);
+      replica = new Replica(process, client, Keys.PREFIX, 200, new SplittableRandom(1));
       specs = new AcceptedJobIndex(replica);
       pipelines = new Pipelines(process, replica, specs);
       replica.start();
--- a/src/test/java/org/ploverspindle/sim/PipelineVersionRecordsTest.java
+++ b/src/test/java/org/ploverspindle/sim/PipelineVersionRecordsTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -77,7 +78,7 @@
     LoadedFixture(JsonNode records) {
       SimClock.Process process = clock.new Process(0, 1, 0);
       store = new FixtureStore(records);
-      replica = new Replica(process, store, Keys.PREFIX, 700);
+      replica = new Replica(process, store, Keys.PREFIX, 700, new SplittableRandom(1));
       specs = new AcceptedJobIndex(replica);
       pipelines = new Pipelines(process, replica, specs);
       replica.start();
--- a/src/test/java/org/ploverspindle/sim/ProductionRecordsTest.java
+++ b/src/test/java/org/ploverspindle/sim/ProductionRecordsTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.regex.Pattern;
@@ -70,7 +71,7 @@
     SimClock clock = new SimClock();
     SimClock.Process process = clock.new Process(0, 1, 0);
     StateStore store = new FixtureStore(fixture.path("records"));
-    Replica replica = new Replica(process, store, Keys.PREFIX, 700);
+    Replica replica = new Replica(process, store, Keys.PREFIX, 700, new SplittableRandom(1));
     AcceptedJobIndex specs = new AcceptedJobIndex(replica);
     replica.start();
     String uid = fixture.path("job").asText();
--- a/src/test/java/org/ploverspindle/sim/RoleCluster.java
+++ b/src/test/java/org/ploverspindle/sim/RoleCluster.java
@@ -185,7 +185,7 @@
     Controller(int index) {
       process = clock.new Process(random.nextInt(1_000_000), 1 + random.nextInt(10) / 20_000.0, 0);
       store = access.client(index, new SimLink(clock, network, index, process));
-      Replica replica = new Replica(process, store, Keys.PREFIX, 300);
+      Replica replica = new Replica(process, store, Keys.PREFIX, 300, new SplittableRandom(1));
       role =
           new RoleLease(
               process,
--- a/src/test/java/org/ploverspindle/sim/SimStateStore.java
+++ b/src/test/java/org/ploverspindle/sim/SimStateStore.java
@@ -129,6 +129,11 @@
     }
   }
 
+  /** The revision of the latest change. */
+  long revision() {
+    return revision;
+  }
+
   /** The mod revision of the key; 0 if it does not exist. */
   long modRevision(String key) {
     StoredValue stored = valuesByKey.get(key);
--- a/src/test/java/org/ploverspindle/sim/UserApiCluster.java
+++ b/src/test/java/org/ploverspindle/sim/UserApiCluster.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.ploverspindle.JobSpecFixtures;
@@ -43,7 +44,7 @@
   /** The user API of one controller, with its own connection to the state service. */
   final class ApiController implements StateStore {
     final SimClock.Process process = clock.new Process(random.nextInt(1_000_000), 1, 0);
-    final Replica replica = new Replica(process, this, Keys.PREFIX, 700);
+    final Replica replica = new Replica(process, this, Keys.PREFIX, 700, new SplittableRandom(1));
     final AcceptedJobIndex specs = new AcceptedJobIndex(replica);
     final Pipelines pipelines = new Pipelines(process, replica, specs);
     final UserRequests requests;
