--- a/src/test/java/org/ploverspindle/sim/PipelineTest.java
+++ b/src/test/java/org/ploverspindle/sim/PipelineTest.java
@@ -284,6 +284,7 @@
   @Test
   void blockedJobNeitherUsesItsTeamsLimitNorCausesProvisioning() {
     SimulatedCluster cluster = new SimulatedCluster(9, CONTROLLERS, 14, List.of("a"));
+    cluster.cloud.stopBootFailures();
     JobSpec first = step(cluster, Priority.NORMAL, 1, 1, 120, 0);
     // The limit of team red is 24 cores, and its guarantee is 8 cores.
     JobSpec blocked =
