Controllers that load together no longer all try to become the leader at once

Seen on: LargeJobUnderLowerLimitsTest, "changes refused because of their rate ==> expected: <0> but was: <3>". Loads now end at the same time, and all seven controllers sent their transaction at once. Failed transactions count against the rate, so the first writes of the new leader were refused.

Cause: the first attempt after a start had no delay; only an attempt after a holder's record went had one.

Changed: the first attempt waits up to 400 ms at random, and then a read must show that the role is still vacant.

--- a/src/main/java/org/ploverspindle/leases/RoleLease.java
+++ b/src/main/java/org/ploverspindle/leases/RoleLease.java
@@ -30,6 +30,12 @@
    */
   private static final int FIRST_ATTEMPT_JITTER_MS = 150;
 
+  /**
+   * The upper bound of the random delay before the first attempt after this process has loaded its
+   * replica. Controllers that started together have loaded at about the same time.
+   */
+  private static final int START_JITTER_MS = 400;
+
   private static final int RETRY_DELAY_MS = 50;
   private static final int RETRY_JITTER_MS = 400;
   private static final long MAX_RECORDED_VACANCY_MS = 3_600_000;
@@ -69,6 +75,8 @@
   private Optional<Long> vacantSinceMs = Optional.empty();
   private Optional<String> lastUnreadableKey = Optional.empty();
   private boolean acquiring;
+  private boolean startDelayed;
+  private boolean vacancyConfirmed;
   private long nextAttemptMs;
 
   /** Creates a candidate that does not try to acquire the role before the first {@link #tick}. */
@@ -151,9 +159,17 @@
   }
 
   private void tryToAcquire() {
+    if (!startDelayed) {
+      startDelayed = true;
+      nextAttemptMs = scheduler.nowMs() + random.nextInt(START_JITTER_MS);
+    }
     if (acquiring || scheduler.nowMs() < nextAttemptMs || !listener.mayAcquire()) {
       return;
     }
+    if (!vacancyConfirmed) {
+      confirmVacancy();
+      return;
+    }
     // A lease is opened only for an attempt to acquire the role. If all controllers kept a lease,
     // its
     // renewals would use up the rate limit of the state service, which all controllers share.
@@ -171,6 +187,21 @@
     acquire(epoch.get(), epochRecord.map(Entry::modRevision).orElse(0L), lease.id().orElseThrow());
   }
 
+  /**
+   * Reads whether the role is still vacant after the delay of the first attempt. Otherwise all
+   * controllers that started together would send a transaction, and the failed ones use up the rate
+   * of changes that the first leader needs.
+   */
+  private void confirmVacancy() {
+    acquiring = true;
+    replica.readBarrier(
+        isRead -> {
+          acquiring = false;
+          vacancyConfirmed = isRead;
+          tick();
+        });
+  }
+
   private void acquire(long epoch, long epochModRevision, long leaseId) {
     acquiring = true;
     JsonNode record = records.encode(new RoleHolder(controllerName, nonce, epoch, leaseId));
