--- a/src/main/java/org/ploverspindle/api/DependencyCheck.java
+++ b/src/main/java/org/ploverspindle/api/DependencyCheck.java
@@ -9,8 +9,6 @@
 import org.ploverspindle.model.JobSpec;
 import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.state.AcceptedJobIndex;
-import org.ploverspindle.state.AcceptedJobIndex.AcceptedJob;
-import org.ploverspindle.state.JobRecord;
 
 /**
  * Checks the dependencies of a submitted job, and finds the jobs whose cancellation would abort it
@@ -50,11 +48,10 @@
    */
   Optional<String> dependencyError(JobSpec spec) {
     for (String uid : spec.dependencies()) {
-      Optional<AcceptedJob> dependency = acceptedJobs.get(uid);
-      if (dependency.isEmpty()) {
+      if (!acceptedJobs.isAccepted(uid)) {
         return Optional.of("awaits a job that was never accepted: " + uid);
       }
-      if (JobRecord.isService(dependency.get().value())) {
+      if (acceptedJobs.isService(uid)) {
         return Optional.of("awaits a service, which is never done: " + uid);
       }
     }
--- a/src/main/java/org/ploverspindle/api/DependencyListWriter.java
+++ b/src/main/java/org/ploverspindle/api/DependencyListWriter.java
@@ -194,6 +194,12 @@
       }
       writeNextAfter(RETRY_MS);
     } else {
+      if (result instanceof TransactionResult.Conflict conflict) {
+        // Every condition of the transaction is that a part is absent.
+        parts.stream()
+            .filter(part -> conflict.keys().contains(pending.list.key(part)))
+            .forEach(pending.storedParts::set);
+      }
       // Some parts are stored already or may still become so: the replica shows which are missing.
       replica.readBarrier(
           fresh -> writeNextAfter(fresh ? nextSendMs - scheduler.nowMs() : RETRY_MS));
--- a/src/main/java/org/ploverspindle/api/JobStatusReader.java
+++ b/src/main/java/org/ploverspindle/api/JobStatusReader.java
@@ -5,7 +5,8 @@
 import org.ploverspindle.pipelines.Pipelines;
 import org.ploverspindle.state.AcceptedJobIndex;
 import org.ploverspindle.state.AcceptedJobIndex.AcceptedJob;
-import org.ploverspindle.state.Keys;
+import org.ploverspindle.state.EndedJobs;
+import org.ploverspindle.state.JobOutcome;
 import org.ploverspindle.state.ProgressCounts;
 import org.ploverspindle.state.Replica;
 
@@ -18,12 +19,14 @@
   private static final String TASKS_FIELD = "tasks";
 
   private final Replica replica;
+  private final EndedJobs endedJobs;
   private final AcceptedJobIndex acceptedJobs;
   private final Pipelines pipelines;
   private final ProgressCounts counts;
 
   JobStatusReader(JobViews views) {
     this.replica = views.replica();
+    this.endedJobs = replica.endedJobs();
     this.acceptedJobs = views.acceptedJobs();
     this.pipelines = views.pipelines();
     this.counts = views.counts();
@@ -31,12 +34,20 @@
 
   /** Whether the replica shows that the job was accepted. */
   boolean isKnown(String uid) {
-    return acceptedJobs.get(uid).isPresent();
+    return acceptedJobs.isAccepted(uid);
   }
 
   /** Returns the job's state; empty if the replica has no such job. */
   Optional<JobState> state(String uid) {
-    return acceptedJobs.get(uid).map(job -> state(uid, job));
+    return acceptedJobs
+        .get(uid)
+        .map(job -> state(uid, job))
+        .or(() -> endedJobs.get(uid).map(job -> state(uid, job)));
+  }
+
+  private static JobState state(String uid, EndedJobs.EndedJob job) {
+    JobStatus status = job.outcome() == JobOutcome.DONE ? JobStatus.DONE : JobStatus.ABORTED;
+    return new JobState(uid, status, job.completedTasks(), 0);
   }
 
   private JobState state(String uid, AcceptedJob job) {
@@ -71,7 +82,7 @@
 
   /** Whether the job's completion is durable. */
   boolean isDone(String uid) {
-    return replica.get(Keys.completion(uid)).isPresent();
+    return endedJobs.isDone(uid);
   }
 
   /**
@@ -89,7 +100,6 @@
    * may be unknown which of two records of a job is valid.
    */
   boolean isAborted(String uid) {
-    return replica.get(Keys.cancellation(uid)).isPresent()
-        || replica.isLoaded() && pipelines.graph().isAborted(uid);
+    return endedJobs.isCancelled(uid) || replica.isLoaded() && pipelines.graph().isAborted(uid);
   }
 }
--- a/src/main/java/org/ploverspindle/api/QueryService.java
+++ b/src/main/java/org/ploverspindle/api/QueryService.java
@@ -74,7 +74,7 @@
         + " is queued and awaits "
         + unfinished.size()
         + " of "
-        + graph.dependenciesOf(uid).size()
+        + graph.dependencyCount(uid)
         + " jobs: "
         + described
         + (unfinished.size() > MAX_EXPLAINED_DEPENDENCIES ? ", ..." : "");
--- a/src/main/java/org/ploverspindle/cluster/JobTable.java
+++ b/src/main/java/org/ploverspindle/cluster/JobTable.java
@@ -13,8 +13,8 @@
 import org.ploverspindle.model.JobSpec;
 import org.ploverspindle.model.MachineType;
 import org.ploverspindle.state.AcceptedJobIndex;
+import org.ploverspindle.state.EndedJobs;
 import org.ploverspindle.state.JobRecord;
-import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,7 +26,7 @@
 public final class JobTable {
   private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
 
-  private final Replica replica;
+  private final EndedJobs endedJobs;
   private final AcceptedJobIndex acceptedJobs;
   private final Catalogue catalogue;
   private final TeamUsage teams;
@@ -35,15 +35,15 @@
 
   public JobTable(
       Replica replica, AcceptedJobIndex acceptedJobs, Catalogue catalogue, TeamUsage teams) {
-    this.replica = replica;
+    this.endedJobs = replica.endedJobs();
     this.acceptedJobs = acceptedJobs;
     this.catalogue = catalogue;
     this.teams = teams;
   }
 
   /**
-   * Adds all accepted jobs that are not completed and that may run. Cancelled jobs are included,
-   * because their tasks may still be on machines.
+   * Adds all accepted jobs that are not completed and that may run. Cancelled jobs are included as
+   * long as the recorded progress mentions them, because their tasks may still be on machines.
    *
    * @param mayRun whether the job with the given UID may run; false for a job that is blocked on
    *     dependencies, which counts in no limit or guarantee and is not placed
@@ -67,10 +67,10 @@
    */
   public Optional<Job> add(AcceptedJobIndex.AcceptedJob accepted) {
     String uid = accepted.uid();
-    if (jobs.containsKey(uid) || replica.get(Keys.completion(uid)).isPresent()) {
+    if (jobs.containsKey(uid) || endedJobs.isDone(uid)) {
       return Optional.empty();
     }
-    boolean cancelled = replica.get(Keys.cancellation(uid)).isPresent();
+    boolean cancelled = endedJobs.isAborted(uid);
     Optional<Job> job = decode(accepted);
     job.ifPresent(added -> jobs.put(uid, added));
     if (cancelled) {
@@ -86,7 +86,7 @@
    *     don't name its team
    */
   public Optional<Job> completed(String uid) {
-    if (replica.get(Keys.completion(uid)).isEmpty()) {
+    if (!endedJobs.isDone(uid)) {
       return Optional.empty();
     }
     Optional<Job> job = acceptedJobs.get(uid).flatMap(this::decode);
--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -40,6 +40,7 @@
   private static final long REPLICA_IDLE_READ_INTERVAL_MS = 700;
   private static final long READINESS_INTERVAL_MS = 500;
   private static final long PEER_HEARTBEAT_INTERVAL_MS = 2_000;
+  private static final long PACK_INTERVAL_MS = 5_000;
   private static final long MISDIRECTED_COUNT_INTERVAL_MS = 1_000;
 
   private final Scheduler scheduler;
@@ -109,13 +110,14 @@
     this.peerMessages =
         new PeerMessageHandler(
             replica, election, stateReachability, peerObservations, () -> leader);
-    this.machineTypes = new MachineTypeLoader(scheduler, services.cloud(), replica, catalogue);
+    this.machineTypes =
+        new MachineTypeLoader(scheduler, services.cloud(), replica, catalogue, random);
     this.readiness = newReadiness();
     this.statusPage = new StatusPage(controllerName, election, pipelines, rejections);
   }
 
   private UserRequests newUserRequests(StateStore store, RandomGenerator random) {
-    ProgressCounts counts = new ProgressCounts(replica);
+    ProgressCounts counts = new ProgressCounts(replica, acceptedJobs);
     String nonce =
         controllerName + "-" + Long.toString(random.nextLong() >>> 1, Character.MAX_RADIX);
     RoutingLeaderNotifier leaderNotifier =
@@ -159,6 +161,7 @@
     replica.setReadInterval(requestRates.followerReadIntervalMs());
     replica.setLoadRate(requestRates.loadRequestsPerS());
     periodicTasks.add(replica.start());
+    periodicTasks.add(scheduler.scheduleWithFixedDelay(PACK_INTERVAL_MS, acceptedJobs::packEnded));
     periodicTasks.add(scheduler.scheduleWithFixedDelay(READINESS_INTERVAL_MS, readiness::update));
     periodicTasks.add(
         scheduler.scheduleWithFixedDelay(
--- a/src/main/java/org/ploverspindle/controller/MachineTypeLoader.java
+++ b/src/main/java/org/ploverspindle/controller/MachineTypeLoader.java
@@ -1,6 +1,8 @@
 package org.ploverspindle.controller;
 
+import java.util.random.RandomGenerator;
 import org.ploverspindle.cloud.CloudClient;
+import org.ploverspindle.eventloop.RetryDelay;
 import org.ploverspindle.eventloop.Scheduler;
 import org.ploverspindle.model.Catalogue;
 import org.ploverspindle.state.MachineTypesRecord;
@@ -10,18 +12,29 @@
  * Loads the machine types into the catalogue. Without them the stored records can't be interpreted.
  */
 final class MachineTypeLoader {
-  private static final long RETRY_DELAY_MS = 1_500;
+  private static final int MIN_RETRY_DELAY_MS = 1_000;
+  private static final int RETRY_JITTER_MS = 1_000;
 
   private final Scheduler scheduler;
   private final CloudClient cloud;
   private final Replica replica;
   private final Catalogue catalogue;
+  private final RetryDelay retryDelay;
 
-  MachineTypeLoader(Scheduler scheduler, CloudClient cloud, Replica replica, Catalogue catalogue) {
+  /**
+   * @param random the source of the jitter of retries
+   */
+  MachineTypeLoader(
+      Scheduler scheduler,
+      CloudClient cloud,
+      Replica replica,
+      Catalogue catalogue,
+      RandomGenerator random) {
     this.scheduler = scheduler;
     this.cloud = cloud;
     this.replica = replica;
     this.catalogue = catalogue;
+    this.retryDelay = new RetryDelay(random, MIN_RETRY_DELAY_MS, RETRY_JITTER_MS);
   }
 
   boolean isLoaded() {
@@ -51,7 +64,7 @@
           if (catalogue.hasMachineTypes()) {
             onLoaded.run();
           } else {
-            scheduler.schedule(RETRY_DELAY_MS, () -> loadFromCloud(onLoaded));
+            scheduler.schedule(retryDelay.nextMs(), () -> loadFromCloud(onLoaded));
           }
         });
   }
--- a/src/main/java/org/ploverspindle/leadership/AuthorityFilter.java
+++ b/src/main/java/org/ploverspindle/leadership/AuthorityFilter.java
@@ -3,7 +3,6 @@
 import java.util.function.BooleanSupplier;
 import org.ploverspindle.cluster.HeartbeatHandler;
 import org.ploverspindle.cluster.WorkerCommand;
-import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
 
 /**
@@ -37,7 +36,6 @@
   }
 
   private boolean isCancellationStop(WorkerCommand command) {
-    return command instanceof WorkerCommand.Stop
-        && replica.get(Keys.cancellation(command.uid())).isPresent();
+    return command instanceof WorkerCommand.Stop && replica.endedJobs().isCancelled(command.uid());
   }
 }
--- a/src/main/java/org/ploverspindle/leadership/JobArrivals.java
+++ b/src/main/java/org/ploverspindle/leadership/JobArrivals.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.ploverspindle.cluster.Job;
 import org.ploverspindle.cluster.TeamUsage;
 import org.ploverspindle.eventloop.Scheduler;
@@ -51,19 +52,24 @@
 
   /** Records in the forecast the jobs that were accepted before this term. */
   void loadRecentArrivals(AcceptedJobIndex acceptedJobs) {
-    acceptedJobs.uids().stream()
-        .flatMap(uid -> acceptedJobs.get(uid).stream())
-        .sorted(Comparator.comparingLong(accepted -> JobRecord.acceptedWallMs(accepted.value())))
-        .forEach(this::recordArrivalBeforeTerm);
+    // A job that becomes ready by its dependencies arrives then, and that time is not recorded.
+    List<AcceptedJobIndex.AcceptedJob> submitted =
+        acceptedJobs.uids().stream()
+            .filter(uid -> !pipelines.graph().hasDependencies(uid))
+            .flatMap(uid -> acceptedJobs.get(uid).stream())
+            .toList();
+    Stream.concat(
+            acceptedJobs.recentPackedTimesMs().stream(),
+            submitted.stream().map(job -> JobRecord.acceptedWallMs(job.value())))
+        .sorted()
+        .forEach(forecast::recordSubmission);
+    submitted.stream()
+        .sorted(Comparator.comparingLong(job -> JobRecord.acceptedWallMs(job.value())))
+        .forEach(this::recordWorkIfRecent);
   }
 
-  private void recordArrivalBeforeTerm(AcceptedJobIndex.AcceptedJob accepted) {
-    if (pipelines.graph().hasDependencies(accepted.uid())) {
-      // The job arrived when its dependencies were done, and that time is not recorded.
-      return;
-    }
+  private void recordWorkIfRecent(AcceptedJobIndex.AcceptedJob accepted) {
     long wallMs = JobRecord.acceptedWallMs(accepted.value());
-    forecast.recordSubmission(wallMs);
     if (scheduler.wallMs() - wallMs < FORECAST_WINDOW_MS) {
       JobRecord.decode(accepted.uid(), accepted.value()).ifPresent(this::recordWorkBeforeTerm);
     }
--- a/src/main/java/org/ploverspindle/leadership/TaskFailures.java
+++ b/src/main/java/org/ploverspindle/leadership/TaskFailures.java
@@ -6,7 +6,6 @@
 import org.ploverspindle.cluster.Machine;
 import org.ploverspindle.cluster.Placement;
 import org.ploverspindle.eventloop.Scheduler;
-import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,6 +64,6 @@
   private boolean isKnownToRun(String uid) {
     return jobs.get(uid)
         .map(job -> job.isKnownToRun(scheduler.nowMs()))
-        .orElseGet(() -> replica.get(Keys.completion(uid)).isPresent());
+        .orElseGet(() -> replica.endedJobs().isDone(uid));
   }
 }
--- a/src/main/java/org/ploverspindle/leadership/TaskOwners.java
+++ b/src/main/java/org/ploverspindle/leadership/TaskOwners.java
@@ -4,7 +4,7 @@
 import org.ploverspindle.cluster.HeartbeatHandler;
 import org.ploverspindle.cluster.TeamUsage;
 import org.ploverspindle.state.AcceptedJobIndex;
-import org.ploverspindle.state.JobRecord;
+import org.ploverspindle.state.JobOwner;
 
 /**
  * Finds the team and the resources of a task that runs without a placement, so that the task counts
@@ -19,19 +19,14 @@
     this.teams = teams;
   }
 
-  /**
-   * The owner of the job's tasks; empty if the job is unknown or unreadable, or its team unknown.
-   */
+  /** The owner of the job's tasks; empty if the job or its team is unknown. */
   Optional<HeartbeatHandler.TaskOwner> of(String uid) {
-    return acceptedJobs
-        .get(uid)
-        .flatMap(accepted -> JobRecord.decode(uid, accepted.value()))
-        .flatMap(this::of);
+    return acceptedJobs.owner(uid).flatMap(this::of);
   }
 
-  private Optional<HeartbeatHandler.TaskOwner> of(JobRecord record) {
+  private Optional<HeartbeatHandler.TaskOwner> of(JobOwner owner) {
     return teams
-        .indexOf(record.spec().team())
-        .map(team -> new HeartbeatHandler.TaskOwner(team, record.spec().perTask()));
+        .indexOf(owner.team())
+        .map(team -> new HeartbeatHandler.TaskOwner(team, owner.perTask()));
   }
 }
--- a/src/main/java/org/ploverspindle/pipelines/CriticalPath.java
+++ b/src/main/java/org/ploverspindle/pipelines/CriticalPath.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.function.Function;
 import org.ploverspindle.model.Priority;
-import org.ploverspindle.pipelines.DependencyGraph.Vertex;
 
 /**
  * The backward pass of the critical path method. Users typically give a deadline and a priority to
--- a/src/main/java/org/ploverspindle/pipelines/DependencyGraph.java
+++ b/src/main/java/org/ploverspindle/pipelines/DependencyGraph.java
@@ -40,39 +40,6 @@
     void aborted(String uid);
   }
 
-  /** A job with its edges. */
-  static final class Vertex {
-    final String uid;
-
-    /** Position of this vertex in {@link #vertices()} and in arrays with an element per vertex. */
-    final int index;
-
-    final List<Vertex> dependencies = new ArrayList<>();
-    final List<Vertex> dependents = new ArrayList<>();
-    boolean done;
-    boolean aborted;
-
-    /** True if the job was cancelled itself, as opposed to aborted by a dependency. */
-    private boolean cancelled;
-
-    /** True if the job has dependencies, even if they are not known yet. */
-    private boolean hasDependencies;
-
-    private boolean dependenciesKnown;
-    private int unfinishedDependencies;
-    private boolean readyNotified;
-    private boolean abortedNotified;
-
-    private Vertex(String uid, int index) {
-      this.uid = uid;
-      this.index = index;
-    }
-
-    private boolean isReady() {
-      return !hasDependencies || dependenciesKnown && unfinishedDependencies == 0;
-    }
-  }
-
   private final Predicate<String> isDone;
   private final Predicate<String> isCancelled;
   private final Map<String, Vertex> verticesByUid = new HashMap<>();
@@ -136,7 +103,8 @@
     Vertex vertex = getOrAddVertex(uid);
     if (!vertex.dependenciesKnown) {
       addDependencies(vertex, distinct);
-    } else if (!distinct.equals(new LinkedHashSet<>(uidsOf(vertex.dependencies)))) {
+    } else if (distinct.size() != vertex.dependencyCount
+        || !distinct.equals(new LinkedHashSet<>(uidsOf(vertex.dependencies)))) {
       replaceDependencies(vertex, distinct);
     }
     propagateAndNotify();
@@ -214,12 +182,21 @@
             .toList();
   }
 
-  /** The direct dependencies; empty if they are not known or the job is not in the graph. */
+  /**
+   * The direct dependencies; empty if they are not known or the job is not in the graph. Forgotten
+   * ones may be missing.
+   */
   public List<String> dependenciesOf(String uid) {
     Vertex vertex = verticesByUid.get(uid);
     return vertex == null ? List.of() : uidsOf(vertex.dependencies);
   }
 
+  /** The number of direct dependencies, including those that are done and forgotten. */
+  public int dependencyCount(String uid) {
+    Vertex vertex = verticesByUid.get(uid);
+    return vertex == null ? 0 : vertex.dependencyCount;
+  }
+
   /** The direct dependents; empty if the job is not in the graph. */
   public List<String> dependentsOf(String uid) {
     Vertex vertex = verticesByUid.get(uid);
@@ -251,6 +228,10 @@
     return vertices.stream().map(vertex -> vertex.uid).toList();
   }
 
+  private static List<String> uidsOfKept(List<Vertex> vertices) {
+    return uidsOf(vertices.stream().filter(vertex -> !vertex.forgotten).toList());
+  }
+
   private Vertex getOrAddVertex(String uid) {
     Vertex existing = verticesByUid.get(uid);
     if (existing != null) {
@@ -268,6 +249,7 @@
   private void addDependencies(Vertex vertex, Collection<String> dependencies) {
     vertex.hasDependencies = true;
     vertex.dependenciesKnown = true;
+    vertex.dependencyCount = Math.max(vertex.dependencyCount, dependencies.size());
     uidsWithDependencies.add(vertex.uid);
     for (String uid : dependencies) {
       Vertex dependency = getOrAddVertex(uid);
@@ -295,22 +277,62 @@
    * record, which is the one that was written first, after the other record.
    */
   private void replaceDependencies(Vertex changedVertex, Collection<String> dependencies) {
+    changedVertex.hasForgottenAbortedDependency = false;
+    changedVertex.dependencyCount = 0;
     Map<Vertex, Collection<String>> dependenciesOf = new LinkedHashMap<>();
     for (Vertex vertex : vertices) {
       if (vertex.dependenciesKnown) {
         dependenciesOf.put(
-            vertex, vertex == changedVertex ? dependencies : uidsOf(vertex.dependencies));
+            vertex, vertex == changedVertex ? dependencies : uidsOfKept(vertex.dependencies));
       }
     }
     for (Vertex vertex : vertices) {
       vertex.dependencies.clear();
       vertex.dependents.clear();
       vertex.unfinishedDependencies = 0;
-      vertex.aborted = vertex.cancelled;
+      vertex.forgottenNeighbours = 0;
+      vertex.aborted = vertex.cancelled || vertex.hasForgottenAbortedDependency;
     }
     dependenciesOf.forEach(this::addDependencies);
   }
 
+  /**
+   * Removes a job that is done or aborted, so that it takes no memory. From then on its outcome is
+   * determined by the predicates that were passed to the constructor. Has no effect on a job that
+   * has not ended or is not in the graph.
+   *
+   * <p>Lists that contain the job are cleaned once half of their elements are forgotten, so that
+   * all calls together take time linear in the number of edges.
+   */
+  public void forget(String uid) {
+    Vertex vertex = verticesByUid.get(uid);
+    if (vertex == null || !vertex.done && !vertex.aborted) {
+      return;
+    }
+    verticesByUid.remove(uid);
+    uidsWithDependencies.remove(uid);
+    Vertex last = vertices.remove(vertices.size() - 1);
+    if (last != vertex) {
+      vertices.set(vertex.index, last);
+      last.index = vertex.index;
+    }
+    vertex.forgotten = true;
+    for (Vertex dependent : vertex.dependents) {
+      dependent.hasForgottenAbortedDependency |= !vertex.done;
+      dependent.neighbourForgotten();
+    }
+    vertex.dependencies.forEach(Vertex::neighbourForgotten);
+    vertex.dependencies.clear();
+    vertex.dependents.clear();
+  }
+
+  /** Removes all jobs. */
+  void clear() {
+    verticesByUid.clear();
+    vertices.clear();
+    uidsWithDependencies.clear();
+  }
+
   private void markDone(Vertex vertex) {
     if (vertex.done) {
       return;
--- a/src/main/java/org/ploverspindle/pipelines/Pipelines.java
+++ b/src/main/java/org/ploverspindle/pipelines/Pipelines.java
@@ -8,6 +8,7 @@
 import org.ploverspindle.eventloop.Scheduler;
 import org.ploverspindle.state.AcceptedJobIndex;
 import org.ploverspindle.state.DependenciesRecord;
+import org.ploverspindle.state.EndedJobs;
 import org.ploverspindle.state.JobRecord;
 import org.ploverspindle.state.Keys;
 import org.ploverspindle.state.Replica;
@@ -19,6 +20,8 @@
  */
 public final class Pipelines {
   private final Replica replica;
+  private final AcceptedJobIndex acceptedJobs;
+  private final EndedJobs endedJobs;
   private final DependencyGraph graph;
 
   /**
@@ -36,10 +39,10 @@
 
   public Pipelines(Scheduler scheduler, Replica replica, AcceptedJobIndex acceptedJobs) {
     this.replica = replica;
-    this.graph =
-        new DependencyGraph(
-            uid -> replica.get(Keys.completion(uid)).isPresent(),
-            uid -> replica.get(Keys.cancellation(uid)).isPresent());
+    this.acceptedJobs = acceptedJobs;
+    this.endedJobs = replica.endedJobs();
+    this.graph = new DependencyGraph(endedJobs::isDone, endedJobs::isAborted);
+    acceptedJobs.setAbortions(graph::isAborted);
     graph.addListener(
         new DependencyGraph.Listener() {
           @Override
@@ -48,26 +51,47 @@
           }
 
           @Override
-          public void aborted(String uid) {}
-        });
-    acceptedJobs.addListener(
-        new AcceptedJobIndex.Listener() {
-          @Override
-          public void accepted(AcceptedJobIndex.AcceptedJob job) {
-            updateDependencies(job);
-          }
-
-          @Override
-          public void replaced(AcceptedJobIndex.AcceptedJob job) {
-            incompleteJobsByRecordName
-                .values()
-                .removeIf(incompleteJob -> incompleteJob.uid().equals(job.uid()));
-            updateDependencies(job);
+          public void aborted(String uid) {
+            acceptedJobs.abortedByDependency(uid);
           }
         });
+    acceptedJobs.addListener(new JobEvents());
     replica.addListener(this::recordChanged);
   }
 
+  /** Keeps the graph up to date with the accepted jobs. */
+  private final class JobEvents implements AcceptedJobIndex.Listener {
+    @Override
+    public void accepted(AcceptedJobIndex.AcceptedJob job) {
+      updateDependencies(job);
+    }
+
+    @Override
+    public void replaced(AcceptedJobIndex.AcceptedJob job) {
+      removeIncomplete(job.uid());
+      updateDependencies(job);
+    }
+
+    @Override
+    public void packed(String uid) {
+      graph.forget(uid);
+      readyWallMs.remove(uid);
+      removeIncomplete(uid);
+    }
+
+    @Override
+    public void abortionsRevoked() {
+      graph.clear();
+      for (String uid : List.copyOf(acceptedJobs.uids())) {
+        acceptedJobs.get(uid).ifPresent(Pipelines.this::updateDependencies);
+      }
+    }
+
+    private void removeIncomplete(String uid) {
+      incompleteJobsByRecordName.values().removeIf(incomplete -> incomplete.uid().equals(uid));
+    }
+  }
+
   /** The dependency graph, which is updated whenever the replica changes. */
   public DependencyGraph graph() {
     return graph;
@@ -87,9 +111,7 @@
    * not count against any limit and adds nothing to the demand for machines.
    */
   public boolean isBlocked(String uid) {
-    return !graph.isReady(uid)
-        && !graph.isAborted(uid)
-        && replica.get(Keys.completion(uid)).isEmpty();
+    return !graph.isReady(uid) && !graph.isAborted(uid) && !endedJobs.isDone(uid);
   }
 
   /** The number of jobs that are blocked on dependencies. */
@@ -101,13 +123,13 @@
     JobRecord.StoredDependencies stored = JobRecord.storedDependencies(job.value());
     if (stored instanceof JobRecord.StoredDependencies.Inline inline) {
       if (!inline.uids().isEmpty() || graph.hasDependencies(job.uid())) {
-        graph.setDependencies(job.uid(), inline.uids());
+        setDependencies(job.uid(), inline.uids());
       }
     } else if (stored instanceof JobRecord.StoredDependencies.Separate separate) {
       Optional<List<String>> uids = DependenciesRecord.read(replica, separate);
       if (uids.isPresent()) {
         incompleteJobsByRecordName.remove(separate.name());
-        graph.setDependencies(job.uid(), uids.get());
+        setDependencies(job.uid(), uids.get());
       } else {
         incompleteJobsByRecordName.put(separate.name(), job);
         graph.addWithUnknownDependencies(job.uid());
@@ -115,6 +137,11 @@
     }
   }
 
+  private void setDependencies(String uid, List<String> dependencies) {
+    graph.setDependencies(uid, dependencies);
+    dependencies.stream().filter(endedJobs::isPacked).forEach(graph::forget);
+  }
+
   private void recordChanged(String key, Optional<Entry> entry) {
     if (entry.isEmpty()) {
       return;
--- a/src/main/java/org/ploverspindle/progress/WriteReadBack.java
+++ b/src/main/java/org/ploverspindle/progress/WriteReadBack.java
@@ -73,7 +73,7 @@
     batch.removedSnapshots().forEach(this::readSnapshot);
     state.pending().dropRemovalsOfMissingSnapshots(state.snapshots());
     for (Job job : batch.completedJobs()) {
-      if (replica.get(Keys.completion(job.uid())).isPresent()) {
+      if (replica.endedJobs().isDone(job.uid())) {
         outcome.completionDurable(job);
       }
     }
--- a/src/main/java/org/ploverspindle/state/JobRecord.java
+++ b/src/main/java/org/ploverspindle/state/JobRecord.java
@@ -21,6 +21,7 @@
  *     may change later.
  */
 public record JobRecord(JobSpec spec, long acceptedWallMs, int shardSize) {
+  static final String TASKS = "tasks";
   private static final String KIND = "shape";
   private static final String DEPENDENCIES = "awaits";
   private static final String DEPENDENCIES_KEY = "awaits_in";
@@ -80,7 +81,7 @@
     value.put("team", spec.team());
     value.put(KIND, StoredNames.of(spec.kind()));
     value.put("urgency", StoredNames.of(spec.priority()));
-    value.put("tasks", spec.tasks());
+    value.put(TASKS, spec.tasks());
     value.put("cores", spec.cores());
     value.put("accel", spec.accelerators());
     value.put("mem", spec.memoryGb());
@@ -115,7 +116,7 @@
 
   /** Decodes the record of the job with this id; empty if the record is malformed. */
   public static Optional<JobRecord> decode(String uid, JsonNode value) {
-    int tasks = value.path("tasks").asInt(0);
+    int tasks = value.path(TASKS).asInt(0);
     int shardSize = value.path("chunk").asInt(0);
     if (tasks < 1
         || shardSize < 1
@@ -139,7 +140,7 @@
         value.path("team").asText(),
         kind,
         priority,
-        value.path("tasks").asInt(),
+        value.path(TASKS).asInt(),
         value.path("cores").asDouble(),
         value.path("accel").asDouble(),
         value.path("mem").asDouble(),
--- a/src/main/java/org/ploverspindle/state/Keys.java
+++ b/src/main/java/org/ploverspindle/state/Keys.java
@@ -1,5 +1,6 @@
 package org.ploverspindle.state;
 
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -34,8 +35,34 @@
    */
   public static final String TERMINATIONS = PREFIX + "x/";
 
+  /**
+   * The prefixes of the records of accepted jobs, which are created once and never removed. A load
+   * reads them last, in this order, so that it is known which jobs have ended.
+   */
+  static final List<String> JOB_RECORDS = List.of(JOB_BATCHES, JOBS, DEPENDENCIES);
+
+  /** The keys of {@link #DEPENDENCIES} and {@link #JOB_BATCHES}, the first two, end before this. */
+  static final String AFTER_JOB_BATCHES = after(JOB_BATCHES);
+
   private Keys() {}
 
+  /** Returns a text that sorts after all keys with this prefix, which ends with a slash. */
+  static String after(String prefix) {
+    return prefix.substring(0, prefix.length() - 1) + (char) ('/' + 1);
+  }
+
+  /** Returns whether the key is that of a record of accepted jobs. */
+  static boolean isAcceptance(String key) {
+    return key.startsWith(JOB_BATCHES) || key.startsWith(JOBS);
+  }
+
+  /** Returns the id of the job whose list of dependencies has a part under this key. */
+  static String jobOfDependencies(String key) {
+    int nameEnd = key.lastIndexOf('/');
+    return key.substring(
+        DEPENDENCIES.length(), Math.max(DEPENDENCIES.length(), key.lastIndexOf('-', nameEnd)));
+  }
+
   /** Returns the key of a record of jobs that were accepted together. */
   public static String jobBatch(String name) {
     return JOB_BATCHES + name;
--- a/src/main/java/org/ploverspindle/state/LoadPacing.java
+++ b/src/main/java/org/ploverspindle/state/LoadPacing.java
@@ -9,7 +9,7 @@
  * because of the other loads. Jitter keeps controllers that started together from sending together.
  */
 final class LoadPacing {
-  private static final double INITIAL_REQUESTS_PER_S = 4;
+  private static final double INITIAL_REQUESTS_PER_S = 20;
 
   /** Requests that may be sent at once, in seconds of the rate. */
   private static final double BURST_S = 1;
--- a/src/main/java/org/ploverspindle/state/ProgressCounts.java
+++ b/src/main/java/org/ploverspindle/state/ProgressCounts.java
@@ -25,10 +25,23 @@
   }
 
   private final Map<String, Counts> counts = new HashMap<>();
+  private final EndedJobs endedJobs;
 
   /** Creates counts that follow the records in the replica. */
-  public ProgressCounts(Replica replica) {
+  public ProgressCounts(Replica replica, AcceptedJobIndex acceptedJobs) {
+    this.endedJobs = replica.endedJobs();
     replica.addListener(this::entryChanged);
+    acceptedJobs.setCompletedTasks(uid -> of(uid).completed());
+    acceptedJobs.addListener(
+        new AcceptedJobIndex.Listener() {
+          @Override
+          public void accepted(AcceptedJobIndex.AcceptedJob job) {}
+
+          @Override
+          public void packed(String uid) {
+            counts.remove(uid);
+          }
+        });
   }
 
   /** Returns the latest recorded counts of the job; zeros if none are recorded. */
@@ -59,7 +72,7 @@
   }
 
   private void update(String uid, long sequence, int completed, int running) {
-    if (of(uid).sequence() <= sequence) {
+    if (!endedJobs.isDone(uid) && !endedJobs.isPacked(uid) && of(uid).sequence() <= sequence) {
       counts.put(uid, new Counts(sequence, completed, running));
     }
   }
--- a/src/main/java/org/ploverspindle/state/Replica.java
+++ b/src/main/java/org/ploverspindle/state/Replica.java
@@ -31,6 +31,9 @@
      * @param entry the new entry of the key; empty if the key was removed
      */
     void changed(String key, Optional<Entry> entry);
+
+    /** Called during a load when a page of the records of accepted jobs was applied. */
+    default void jobRecordsLoaded() {}
   }
 
   /**
@@ -43,7 +46,8 @@
   private final StateStore store;
   private final String prefix;
   private final long idlePeriodMs;
-  private final ReplicaEntries entries = new ReplicaEntries();
+  private final EndedJobs endedJobs;
+  private final ReplicaEntries entries;
   private final ReadPacing pacing;
   private final LoadPacing loadPacing;
 
@@ -54,6 +58,7 @@
   private long scheduledReadMs;
 
   private boolean loaded;
+  private Optional<ReplicaLoad> load = Optional.empty();
   private long revision;
   private long freshAsOfMs = ReadPacing.NEVER_MS;
   private long promptAsOfMs = ReadPacing.NEVER_MS;
@@ -76,11 +81,15 @@
     this.idlePeriodMs = idlePeriodMs;
     this.pacing = new ReadPacing(scheduler);
     this.loadPacing = new LoadPacing(scheduler, random);
+    this.endedJobs = new EndedJobs(random);
+    this.entries = new ReplicaEntries(endedJobs);
   }
 
   /**
-   * Adds a listener. A listener that belongs to a term must be cancelled at the end of the term;
-   * otherwise the replica keeps the objects of the deposed leader in memory until the process ends.
+   * Adds a listener. Listeners are notified of all keys, also of those whose entries are not kept:
+   * accepted jobs, completions and cancellations, see {@link #get}. A listener that belongs to a
+   * term must be cancelled at the end of the term; otherwise the replica keeps the objects of the
+   * deposed leader in memory until the process ends.
    *
    * @return removes the listener when cancelled
    */
@@ -144,7 +153,11 @@
     return promptAsOfMs;
   }
 
-  /** Returns the entry of a key; empty if the key does not exist. */
+  /**
+   * Returns the entry of a key; empty if the key does not exist. The replica has no entries of
+   * accepted jobs, completions and cancellations: {@link AcceptedJobIndex} and {@link #endedJobs}
+   * have these, and their number has no bound.
+   */
   public Optional<Entry> get(String key) {
     return entries.get(key);
   }
@@ -154,6 +167,37 @@
     return entries.withPrefix(keyPrefix);
   }
 
+  /** Returns the outcomes of all jobs that have ended. */
+  public EndedJobs endedJobs() {
+    return endedJobs;
+  }
+
+  /** Returns the time of the wall clock in milliseconds since the epoch. */
+  long wallMs() {
+    return scheduler.wallMs();
+  }
+
+  /**
+   * Returns whether the outcomes of jobs and the recorded progress are as of one revision. That is
+   * so at all times except in the first part of a load.
+   */
+  boolean isProgressConsistent() {
+    return loaded || load.map(ReplicaLoad::isLoadingJobRecords).orElse(false);
+  }
+
+  /**
+   * Has the load in progress begin anew when it would be complete, as what was concluded from it so
+   * far may be wrong.
+   */
+  void repeatLoad() {
+    load.ifPresent(ReplicaLoad::repeat);
+  }
+
+  /** Removes the parts of a list of dependencies that is no longer needed from the replica. */
+  void dropDependencies(String listName) {
+    entries.drop(Keys.DEPENDENCIES + listName + "/");
+  }
+
   /** Returns the text in a field of the key's value, if the key exists and the field is text. */
   public Optional<String> text(String key, String field) {
     return get(key)
@@ -278,7 +322,10 @@
     }
     readInFlight = true;
     pacing.readSent();
-    new ReplicaLoad(scheduler, store, prefix, entries, loadPacing, new LoadEvents()).sendNext();
+    ReplicaLoad newLoad =
+        new ReplicaLoad(scheduler, store, prefix, entries, loadPacing, new LoadEvents());
+    load = Optional.of(newLoad);
+    newLoad.sendNext();
   }
 
   /** Ends the waiting of readers when a load is refused, and the load when it is complete. */
@@ -293,6 +340,7 @@
       revision = loadedRevision;
       readInFlight = false;
       loaded = true;
+      load = Optional.empty();
       pacing.readSucceeded();
       freshAsOfMs = Math.max(freshAsOfMs, sentMs);
       promptAsOfMs = Math.max(promptAsOfMs, sentMs);
--- a/src/main/java/org/ploverspindle/state/ReplicaLoad.java
+++ b/src/main/java/org/ploverspindle/state/ReplicaLoad.java
@@ -1,5 +1,7 @@
 package org.ploverspindle.state;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -12,8 +14,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One load of all keys into a replica, in pages and in key order. A request that is refused or not
- * answered is repeated, and the load goes on from there: pages that were read are not read again.
+ * One load of all keys into a replica, in pages. A request that is refused or not answered is
+ * repeated, and the load goes on from there: pages that were read are not read again.
+ *
+ * <p>The records of accepted jobs are read after all other keys. When they are read, it is known
+ * which jobs have ended and which jobs the recorded progress mentions, as of one revision, so most
+ * records need not be kept, not even until the end of the load.
  *
  * <p>Pages have different revisions. The changes since the first page are therefore read too:
  * periodically, because the state service keeps a limited number of changes and the load may take
@@ -23,7 +29,9 @@
 final class ReplicaLoad {
   private static final Logger LOG = LoggerFactory.getLogger(ReplicaLoad.class);
 
-  private static final int PAGE_SIZE = 500;
+  /** The largest page that the state service returns, so that a load takes few requests. */
+  private static final int PAGE_SIZE = 1_000;
+
   private static final long CHANGES_INTERVAL_MS = 2_000;
   private static final long PROGRESS_LOG_INTERVAL_MS = 10_000;
 
@@ -49,11 +57,22 @@
   private final Listener listener;
   private final long startedMs;
 
-  /** The last key that was read; empty before the first page. */
-  private String lastKey = "";
+  /** The prefixes of the job records that are not read yet. */
+  private final Deque<String> remainingPrefixes = new ArrayDeque<>();
+
+  /** The prefix of the keys that are being read. */
+  private String currentPrefix;
+
+  /** The keys with the current prefix up to this one are read; empty if none is. */
+  private String lastKey;
 
   private boolean firstPageRead;
+  private boolean loadingJobRecords;
   private boolean allPagesRead;
+  private boolean repeated;
+
+  /** Whether changes must be read before further pages, or before the load is complete. */
+  private boolean changesRequired;
 
   /** All changes up to this revision were read, for the keys up to {@link #lastKey}. */
   private long revision;
@@ -78,6 +97,32 @@
     this.listener = listener;
     this.startedMs = scheduler.nowMs();
     this.progressLoggedMs = startedMs;
+    begin();
+  }
+
+  private void begin() {
+    remainingPrefixes.clear();
+    remainingPrefixes.addAll(Keys.JOB_RECORDS);
+    currentPrefix = prefix;
+    lastKey = Keys.AFTER_JOB_BATCHES;
+    firstPageRead = false;
+    loadingJobRecords = false;
+    allPagesRead = false;
+    repeated = false;
+    changesRequired = false;
+  }
+
+  /**
+   * Returns whether the load has reached the records of accepted jobs, and so has read all other
+   * keys as of one revision.
+   */
+  boolean isLoadingJobRecords() {
+    return loadingJobRecords;
+  }
+
+  /** Has the load begin anew when it would be complete. */
+  void repeat() {
+    repeated = true;
   }
 
   /** Sends the next request as soon as the pacing allows it. */
@@ -94,10 +139,10 @@
   private void send() {
     long sentMs = scheduler.nowMs();
     boolean changesDue = firstPageRead && sentMs - changesReadMs >= CHANGES_INTERVAL_MS;
-    if (allPagesRead || changesDue) {
+    if (changesRequired || changesDue) {
       store.readChanges(prefix, revision, result -> changesReceived(result, sentMs));
     } else {
-      store.readPage(prefix, lastKey, PAGE_SIZE, result -> pageReceived(result, sentMs));
+      store.readPage(currentPrefix, lastKey, PAGE_SIZE, result -> pageReceived(result, sentMs));
     }
   }
 
@@ -121,17 +166,38 @@
     String previousLastKey = lastKey;
     Set<String> keys = new HashSet<>();
     for (Entry entry : page.entries()) {
-      keys.add(entry.key());
       lastKey = entry.key();
-      entries.apply(new ChangedEntry(entry.key(), Optional.of(entry.value()), entry.modRevision()));
+      if (loadingJobRecords || !Keys.isAcceptance(lastKey)) {
+        keys.add(lastKey);
+        entries.apply(new ChangedEntry(lastKey, Optional.of(entry.value()), entry.modRevision()));
+      }
     }
-    allPagesRead = !page.hasNext() || page.entries().isEmpty();
+    boolean prefixRead = !page.hasNext() || page.entries().isEmpty();
     // The page shows which keys exist up to its last key, and the last page shows all later ones.
     entries.removeMissing(
+        currentPrefix,
         previousLastKey,
-        allPagesRead ? Optional.empty() : Optional.of(lastKey),
+        prefixRead ? Optional.empty() : Optional.of(lastKey),
         keys,
         page.revision());
+    if (loadingJobRecords) {
+      entries.jobRecordsLoaded();
+    }
+    if (prefixRead) {
+      continueWithNextPrefix();
+    } else if (!loadingJobRecords && lastKey.startsWith(Keys.JOBS)) {
+      lastKey = Keys.after(Keys.JOBS);
+    }
+  }
+
+  private void continueWithNextPrefix() {
+    // Between the two parts of the load, all keys that were read are brought to one revision.
+    changesRequired = !loadingJobRecords || remainingPrefixes.isEmpty();
+    allPagesRead = remainingPrefixes.isEmpty();
+    if (!allPagesRead) {
+      currentPrefix = remainingPrefixes.remove();
+      lastKey = "";
+    }
   }
 
   private void changesReceived(ChangesResult result, long sentMs) {
@@ -140,13 +206,22 @@
       changes.changes().forEach(entries::apply);
       revision = Math.max(revision, changes.revision());
       changesReadMs = sentMs;
-      if (allPagesRead) {
+      changesRequired = false;
+      loadingJobRecords |= !currentPrefix.equals(prefix);
+      if (allPagesRead && !repeated) {
         complete(sentMs);
         return;
       }
+      if (allPagesRead) {
+        LOG.info("state load repeated, a job has records with different dependencies");
+        begin();
+      }
     } else if (result instanceof ChangesResult.TooOld) {
+      // Changes of keys that were read can no longer be read. This happens only if no request was
+      // answered while more changes were made than the state service keeps.
       pacing.succeeded();
-      restart();
+      LOG.info("state load restarted, changes are no longer available: pages={}", pagesRead);
+      begin();
     } else {
       requestFailed();
       return;
@@ -154,18 +229,6 @@
     sendNext();
   }
 
-  /**
-   * Begins with the first page again: changes of keys that were read can no longer be read. This
-   * happens only if no request was answered while more changes were made than the state service
-   * keeps.
-   */
-  private void restart() {
-    LOG.info("state load restarted, changes are no longer available: pages={}", pagesRead);
-    lastKey = "";
-    firstPageRead = false;
-    allPagesRead = false;
-  }
-
   private void requestFailed() {
     failedRequests++;
     pacing.failed();
