A forgotten attempt that did not complete can't be started by a late copy of its launch

Changed: forgetting any attempt that did not complete raises the token. Completed ones are placed nowhere else; raising the token for each of them would use up a term's tokens within hours.

Test: LateLaunchCopiesTest delivers copies of both kinds all the time, after forgets, stops, moves and cancellations, while leaders crash and are back within 50 ms, and workers hang for 0.7 s or are back without their tasks, in a new epoch or the same.

--- a/src/main/java/org/ploverspindle/cluster/HeartbeatContext.java
+++ b/src/main/java/org/ploverspindle/cluster/HeartbeatContext.java
@@ -63,16 +63,24 @@
    * sent in a later response.
    */
   boolean addCommand(WorkerCommand command) {
-    if (!batch.add(command)) {
-      return false;
-    }
-    if (command instanceof WorkerCommand.Forget
-        && machine.isDirectLaunchPending(command.attempt())) {
-      // Once the worker has forgotten the attempt, a late copy of its direct launch would start the
-      // attempt again. The response with the forget command also carries a raised fencing token,
-      // under which the worker rejects that copy.
+    return batch.add(command);
+  }
+
+  /**
+   * Adds the command by which the worker forgets an exited attempt, if it fits.
+   *
+   * <p>Once the worker has forgotten the attempt, a late copy of its launch would start the attempt
+   * again, while the task runs elsewhere or its job is cancelled. The response with the command
+   * therefore also carries a raised fencing token, under which the worker rejects that copy. No
+   * copy of a launch in a response is known to arrive, so an attempt that was launched by a
+   * response and has completed needs no higher token: its task is placed nowhere else.
+   */
+  void addForget(Heartbeat.TaskStatus status) {
+    boolean added =
+        batch.add(new WorkerCommand.Forget(status.uid(), status.task(), status.attempt()));
+    boolean completed = status.exitReason() == Heartbeat.ExitReason.DONE;
+    if (added && (!completed || machine.isDirectLaunchPending(status.attempt()))) {
       machine.raiseFencingToken(registry.nextFencingToken());
     }
-    return true;
   }
 }
--- a/src/main/java/org/ploverspindle/cluster/ReportedTaskHandler.java
+++ b/src/main/java/org/ploverspindle/cluster/ReportedTaskHandler.java
@@ -75,7 +75,7 @@
     if (status.exitReason() == Heartbeat.ExitReason.ERROR) {
       failures.recordFailure(status.uid(), context.nowMs());
     }
-    context.addCommand(forget(status));
+    context.addForget(status);
     listener.ended(placement, status.exitReason(), status.checkpointed(), context.nowMs());
   }
 
@@ -88,14 +88,10 @@
     if (status.phase() != Heartbeat.Phase.EXITED) {
       stopOrphan(context, status, job);
     } else if (mayBeForgotten(status, job)) {
-      context.addCommand(forget(status));
+      context.addForget(status);
     }
   }
 
-  private static WorkerCommand.Forget forget(Heartbeat.TaskStatus status) {
-    return new WorkerCommand.Forget(status.uid(), status.task(), status.attempt());
-  }
-
   /**
    * Whether the worker may forget the exited attempt. A completion counts no matter which leader
    * placed the task, and until it is durable the worker holds the only record of it.
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -35,6 +35,7 @@
   private final double cores;
   private final Map<Long, SimAttempt> attempts = new LinkedHashMap<>();
   private final SimPause pause;
+  private final LateLaunchCopies launchCopies = new LateLaunchCopies();
   private int controller;
   private long workerEpoch = 1;
   private long sequence;
@@ -163,6 +164,7 @@
           }
           if (token >= fencingToken && commandEpoch == workerEpoch) {
             fencingToken = token;
+            launchCopies.record(true, token, commandEpoch, commands, sentMs);
             commands.forEach(command -> execute(command, sentMs));
           }
           then.accept(newHeartbeat());
@@ -299,9 +301,38 @@
     }
     fencingToken = token;
     leaseStartMs = inFlightSentMs;
+    launchCopies.record(false, token, workerEpoch, commands, sentMs);
     commands.forEach(command -> execute(command, sentMs));
   }
 
+  /** The messages with launches that the worker executed, for tests that deliver copies. */
+  LateLaunchCopies launchCopies() {
+    return launchCopies;
+  }
+
+  /** Executes a copy of an earlier message if its token and its worker epoch still match. */
+  boolean executeCopy(long token, long commandEpoch, List<WorkerCommand> commands, long sentMs) {
+    boolean accepted =
+        !isTerminated && !pause.isActive() && token >= fencingToken && commandEpoch == workerEpoch;
+    if (accepted) {
+      commands.forEach(command -> execute(command, sentMs));
+    }
+    return accepted;
+  }
+
+  /**
+   * Restarts the worker's process. Its tasks end; it keeps the highest token that it has seen, and
+   * either begins a new worker epoch or goes on with the same one.
+   */
+  void restartProcess(boolean newEpoch) {
+    killTasks();
+    if (newEpoch) {
+      workerEpoch++;
+      sequence = 0;
+      leaseStartMs = clock.nowMs();
+    }
+  }
+
   private void execute(WorkerCommand command, long sentMs) {
     SimAttempt known = attempts.get(command.attempt());
     if (command instanceof WorkerCommand.Launch launch) {
