--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -40,7 +40,7 @@
   private static final long REPLICA_IDLE_READ_INTERVAL_MS = 700;
   private static final long READINESS_INTERVAL_MS = 500;
   private static final long PEER_HEARTBEAT_INTERVAL_MS = 2_000;
-  private static final long PACK_INTERVAL_MS = 5_000;
+  private static final long PACK_INTERVAL_MS = 60_000;
   private static final long MISDIRECTED_COUNT_INTERVAL_MS = 1_000;
 
   private final Scheduler scheduler;
--- a/src/main/java/org/ploverspindle/state/AcceptedJobIndex.java
+++ b/src/main/java/org/ploverspindle/state/AcceptedJobIndex.java
@@ -102,7 +102,7 @@
         new Replica.Listener() {
           @Override
           public void changed(String key, Optional<Entry> entry) {
-            loggedJobs.entryChanged(key, entry);
+            loggedJobs.entryChanged(key);
             entry.ifPresent(AcceptedJobIndex.this::entryChanged);
           }
 
--- a/src/main/java/org/ploverspindle/state/ProgressCounts.java
+++ b/src/main/java/org/ploverspindle/state/ProgressCounts.java
@@ -72,8 +72,15 @@
   }
 
   private void update(String uid, long sequence, int completed, int running) {
-    if (!endedJobs.isDone(uid) && !endedJobs.isPacked(uid) && of(uid).sequence() <= sequence) {
+    Counts known = counts.get(uid);
+    boolean isCounted = known != null ? known.sequence() <= sequence : !isOver(uid);
+    if (isCounted) {
       counts.put(uid, new Counts(sequence, completed, running));
     }
   }
+
+  /** Whether the counts of the job are not needed any more. */
+  private boolean isOver(String uid) {
+    return endedJobs.isDone(uid) || endedJobs.isPacked(uid);
+  }
 }
