--- a/src/main/java/org/ploverspindle/controller/Controller.java
+++ b/src/main/java/org/ploverspindle/controller/Controller.java
@@ -37,7 +37,7 @@
  * the event loop, except for {@link #isReady}.
  */
 public final class Controller implements UserApi.RequestHandler {
-  private static final long REPLICA_IDLE_READ_INTERVAL_MS = 700;
+  private static final long IDLE_READ_INTERVAL_MS = 700;
   private static final long READINESS_INTERVAL_MS = 500;
   private static final long PEER_HEARTBEAT_INTERVAL_MS = 2_000;
   private static final long PACK_INTERVAL_MS = 60_000;
@@ -81,8 +81,7 @@
     this.controllerName = settings.controllerName();
     this.peers = services.peers();
     this.requestRates = new RequestRates(settings);
-    this.replica =
-        new Replica(scheduler, store, Keys.PREFIX, REPLICA_IDLE_READ_INTERVAL_MS, random);
+    this.replica = new Replica(scheduler, store, Keys.PREFIX, IDLE_READ_INTERVAL_MS, random);
     this.stateReachability =
         new StateReachability(scheduler, replica, store, peers, controllerName);
     this.peerObservations =
--- a/src/test/java/org/ploverspindle/sim/LateLaunchCopies.java
+++ b/src/test/java/org/ploverspindle/sim/LateLaunchCopies.java
@@ -29,16 +29,19 @@
   int deliverAll(SimWorker worker, boolean direct) {
     int accepted = 0;
     for (Message message : List.copyOf(messages)) {
-      if (message.direct() == direct) {
-        boolean executed =
-            worker.executeCopy(
-                message.token(), message.epoch(), message.commands(), message.sentMs());
-        accepted += executed ? 1 : 0;
-      }
+      accepted += message.direct() == direct ? deliver(worker, message) : 0;
     }
     return accepted;
   }
 
+  private static int deliver(SimWorker worker, Message message) {
+    if (!worker.accepts(message.token(), message.epoch())) {
+      return 0;
+    }
+    message.commands().forEach(command -> worker.execute(command, message.sentMs()));
+    return 1;
+  }
+
   /** Delivers a copy of one recorded message, drawn at random. */
   int deliverOne(SimWorker worker, boolean direct, Random random) {
     List<Message> candidates =
@@ -46,10 +49,6 @@
     if (candidates.isEmpty()) {
       return 0;
     }
-    Message message = candidates.get(random.nextInt(candidates.size()));
-    return worker.executeCopy(
-            message.token(), message.epoch(), message.commands(), message.sentMs())
-        ? 1
-        : 0;
+    return deliver(worker, candidates.get(random.nextInt(candidates.size())));
   }
 }
--- a/src/test/java/org/ploverspindle/sim/LateLaunchCopiesTest.java
+++ b/src/test/java/org/ploverspindle/sim/LateLaunchCopiesTest.java
@@ -71,8 +71,8 @@
         boolean all = scenario.random.nextInt(4) == 0;
         int accepted =
             all
-                ? worker.launchCopies().deliverAll(worker, direct)
-                : worker.launchCopies().deliverOne(worker, direct, scenario.random);
+                ? worker.launchCopies.deliverAll(worker, direct)
+                : worker.launchCopies.deliverOne(worker, direct, scenario.random);
         scenario.increase("accepted", accepted);
       }
     }
--- a/src/test/java/org/ploverspindle/sim/SimWorker.java
+++ b/src/test/java/org/ploverspindle/sim/SimWorker.java
@@ -1,6 +1,5 @@
 package org.ploverspindle.sim;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +34,10 @@
   private final double cores;
   private final Map<Long, SimAttempt> attempts = new LinkedHashMap<>();
   private final SimPause pause;
-  private final LateLaunchCopies launchCopies = new LateLaunchCopies();
+
+  /** The messages with launches that the worker executed, for tests that deliver copies. */
+  final LateLaunchCopies launchCopies = new LateLaunchCopies();
+
   private int controller;
   private long workerEpoch = 1;
   private long sequence;
@@ -236,12 +238,6 @@
 
   private Heartbeat newHeartbeat() {
     sequence++;
-    List<Heartbeat.TaskStatus> statuses = new ArrayList<>();
-    for (SimAttempt a : attempts.values()) {
-      statuses.add(
-          new Heartbeat.TaskStatus(
-              a.uid, a.task, a.attempt, a.phase, a.exitReason, a.checkpointed));
-    }
     return new Heartbeat(
         place.host(),
         address(),
@@ -252,7 +248,7 @@
         sequence,
         fencingToken,
         hasSpotNotice ? OptionalDouble.of(8) : OptionalDouble.empty(),
-        statuses);
+        attempts.values().stream().map(SimAttempt::status).toList());
   }
 
   private void requestFailed(long requestId) {
@@ -305,35 +301,19 @@
     commands.forEach(command -> execute(command, sentMs));
   }
 
-  /** The messages with launches that the worker executed, for tests that deliver copies. */
-  LateLaunchCopies launchCopies() {
-    return launchCopies;
-  }
-
-  /** Executes a copy of an earlier message if its token and its worker epoch still match. */
-  boolean executeCopy(long token, long commandEpoch, List<WorkerCommand> commands, long sentMs) {
-    boolean accepted =
-        !isTerminated && !pause.isActive() && token >= fencingToken && commandEpoch == workerEpoch;
-    if (accepted) {
-      commands.forEach(command -> execute(command, sentMs));
-    }
-    return accepted;
+  /** Whether it executes a message with this token and worker epoch that arrives now. */
+  boolean accepts(long token, long epoch) {
+    return !isTerminated && !pause.isActive() && token >= fencingToken && epoch == workerEpoch;
   }
 
-  /**
-   * Restarts the worker's process. Its tasks end; it keeps the highest token that it has seen, and
-   * either begins a new worker epoch or goes on with the same one.
-   */
+  /** Ends all tasks, as if the process was restarted; it keeps the highest token it has seen. */
   void restartProcess(boolean newEpoch) {
     killTasks();
-    if (newEpoch) {
-      workerEpoch++;
-      sequence = 0;
-      leaseStartMs = clock.nowMs();
-    }
+    workerEpoch += newEpoch ? 1 : 0;
+    leaseStartMs = newEpoch ? clock.nowMs() : leaseStartMs;
   }
 
-  private void execute(WorkerCommand command, long sentMs) {
+  void execute(WorkerCommand command, long sentMs) {
     SimAttempt known = attempts.get(command.attempt());
     if (command instanceof WorkerCommand.Launch launch) {
       if (known == null) {
@@ -351,18 +331,8 @@
   private void launch(WorkerCommand.Launch command, long sentMs) {
     SimAttempt attempt = new SimAttempt(command.uid(), command.task(), command.attempt(), sentMs);
     JobSpec spec = specs.get(command.uid());
-    boolean isDuplicate =
-        attempts.values().stream()
-            .anyMatch(
-                other ->
-                    other.uid.equals(attempt.uid)
-                        && other.task == attempt.task
-                        && other.phase != Heartbeat.Phase.EXITED);
-    double usedCores =
-        attempts.values().stream()
-            .filter(other -> other.phase != Heartbeat.Phase.EXITED)
-            .mapToDouble(other -> specs.get(other.uid).cores())
-            .sum();
+    boolean isDuplicate = SimAttempt.isOnMachine(attempts.values(), attempt);
+    double usedCores = SimAttempt.usedCores(attempts.values(), specs);
     attempts.put(attempt.attempt, attempt);
     if (spec == null) {
       exit(attempt, Heartbeat.ExitReason.NO_SUCH);
